--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -73,6 +73,8 @@
     Cancelled = 203,
     /// The answer to an earlier attempt is no longer held.
     AnswerGone = 204,
+    /// Outcome unknown: the backend server of the flow is gone.
+    ServerGone = 205,
 
     /// Dropped: the datagram is no valid message.
     Malformed = 300,
@@ -90,6 +92,14 @@
     BadOption = 306,
     /// The request's method is not supported.
     BadMethod = 307,
+    /// Dropped: the route token names no known backend server.
+    TokenUnknown = 308,
+    /// Dropped: no routing is in force yet.
+    NotReady = 309,
+    /// Dropped: the failure domain of the flow's backend server is out.
+    FlowOut = 310,
+    /// Dropped: every backend server that could take the flow is cold or unproven.
+    FlowHeld = 311,
 
     /// The object has an unknown kind.
     UnknownKind = 400,
@@ -113,6 +123,8 @@
     OldVersion = 409,
     /// The configuration has no room for more objects.
     TooMany = 410,
+    /// The platform's entry cannot be read as an object.
+    Unreadable = 411,
 
     /// Another operator changed the same label.
     Conflict = 500,
--- a/crates/conf/src/key.rs
+++ b/crates/conf/src/key.rs
@@ -16,3 +16,8 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Domain(u32);
 entity_impl!(Domain, "dom");
+
+/// Backend servers that serve the same packet flows.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Pool(u32);
+entity_impl!(Pool, "pool");
--- a/crates/conf/src/object.rs
+++ b/crates/conf/src/object.rs
@@ -22,6 +22,10 @@
 pub const SPEC_MAX: usize = 4096;
 /// Longest spec of a report, in bytes.
 pub const REPORT_MAX: usize = 512 * 1024;
+/// Longest spec of a routing, in bytes. It holds every route, and the platform's values end there.
+pub const ROUTING_MAX: usize = 1024 * 1024;
+/// Time that a flow may be idle where the routing names none.
+pub const IDLE_MS: u32 = 15_000;
 /// Deadline of requests to a service that names none.
 pub const DEADLINE_MS: u32 = 10_000;
 /// Longest deadline that a service may name.
@@ -32,6 +36,8 @@
 pub const CONNECTIONS: u16 = 2000;
 /// Label of a backend server that names its failure domain.
 pub const DOMAIN_LABEL: &str = "domain";
+/// Label of a backend server that names the pool it serves packet flows in.
+pub const POOL_LABEL: &str = "pool";
 /// Label of a backend server or failure domain that takes it in or out of service.
 pub const STATE_LABEL: &str = "state";
 
@@ -48,6 +54,8 @@
     Domain,
     /// What the balancers of one failure domain have in force.
     Report,
+    /// Where packet flows go: all routes, and the pools that they lead to.
+    Routing,
 }
 
 /// What operators want of a backend server or failure domain. The greater one prevails.
@@ -100,6 +108,8 @@
     Domain(Domain),
     /// A report.
     Report(Report),
+    /// A routing.
+    Routing(Routing),
 }
 
 /// A service that callers reach at one address.
@@ -126,6 +136,52 @@
     pub domain: String,
     /// Its own state, from its label.
     pub state: State,
+    /// The pool that it serves packet flows in, from its label.
+    pub pool: Option<String>,
+    /// What a forwarded packet names it by, so that a later user of its address ignores the packet.
+    pub identity: Option<u64>,
+    /// How much longer it is cold, counted from when the object was written.
+    pub cold: Span,
+}
+
+/// Where packet flows go.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Routing {
+    /// Every route.
+    pub routes: Vec<Route>,
+    /// The pools that routes lead to.
+    pub pools: Vec<Pool>,
+    /// Time after which an idle flow may be forgotten.
+    pub idle: Span,
+}
+
+/// A service address of packet flows, and the pools that new flows are shared among.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// The address and port that callers send to.
+    pub address: SocketAddr,
+    /// The pools, with their weights.
+    pub shares: Vec<Share>,
+}
+
+/// A pool's part of the new flows of a route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// Name of the pool.
+    pub pool: String,
+    /// Its part, relative to the other weights of the route.
+    pub weight: u32,
+}
+
+/// Backend servers that serve the same flows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pool {
+    /// Its name, which is the value of its servers' label.
+    pub name: String,
+    /// New flows a minute that one of its servers bears while it is cold.
+    pub cold_per_minute: u32,
+    /// How long a server is cold after its start.
+    pub cold: Span,
 }
 
 /// A failure domain.
@@ -190,6 +246,7 @@
             Body::Server(_) => Kind::Server,
             Body::Domain(_) => Kind::Domain,
             Body::Report(_) => Kind::Report,
+            Body::Routing(_) => Kind::Routing,
         }
     }
 }
@@ -237,6 +294,7 @@
                 Body::Domain(domain(&raw.labels)?)
             }
             Kind::Report => Body::Report(parse::<spec::Report>(raw, REPORT_MAX)?.into()),
+            Kind::Routing => Body::Routing(parse::<spec::Routing>(raw, ROUTING_MAX)?.into()),
         };
         let meta = Meta {
             name: raw.name.clone(),
@@ -328,6 +386,9 @@
         connections,
         domain: domain.clone(),
         state: state(labels)?,
+        pool: labels.get(POOL_LABEL).cloned(),
+        identity: spec.identity,
+        cold: Span::millis(spec.cold_ms.unwrap_or_default().into()),
     })
 }
 
@@ -392,6 +453,53 @@
     }
 }
 
+impl From<spec::Routing> for Routing {
+    fn from(spec: spec::Routing) -> Routing {
+        let share = |share: spec::Share| Share {
+            pool: share.pool,
+            weight: share.weight,
+        };
+        let route = |route: spec::Route| Route {
+            address: route.address,
+            shares: route.shares.into_iter().map(share).collect(),
+        };
+        let pool = |pool: spec::Pool| Pool {
+            name: pool.name,
+            cold_per_minute: pool.cold_per_minute,
+            cold: Span::millis(pool.cold_ms.into()),
+        };
+        Routing {
+            routes: spec.routes.into_iter().map(route).collect(),
+            pools: spec.pools.into_iter().map(pool).collect(),
+            idle: Span::millis(spec.idle_ms.unwrap_or(IDLE_MS).into()),
+        }
+    }
+}
+
+impl From<&Routing> for spec::Routing {
+    fn from(routing: &Routing) -> spec::Routing {
+        let millis = |span: Span| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
+        let share = |share: &Share| spec::Share {
+            pool: share.pool.clone(),
+            weight: share.weight,
+        };
+        let route = |route: &Route| spec::Route {
+            address: route.address,
+            shares: route.shares.iter().map(share).collect(),
+        };
+        let pool = |pool: &Pool| spec::Pool {
+            name: pool.name.clone(),
+            cold_per_minute: pool.cold_per_minute,
+            cold_ms: millis(pool.cold),
+        };
+        spec::Routing {
+            routes: routing.routes.iter().map(route).collect(),
+            pools: routing.pools.iter().map(pool).collect(),
+            idle_ms: Some(millis(routing.idle)),
+        }
+    }
+}
+
 impl From<&Body> for raw::Spec {
     fn from(body: &Body) -> raw::Spec {
         let value = match body {
@@ -404,9 +512,14 @@
                 address: server.address,
                 slots: Some(server.slots),
                 connections: Some(server.connections),
+                identity: server.identity,
+                cold_ms: u32::try_from(server.cold.as_millis())
+                    .ok()
+                    .filter(|&cold| cold > 0),
             }),
             Body::Domain(_) => serde_json::to_string(&spec::Domain {}),
             Body::Report(report) => serde_json::to_string(&spec::Report::from(report)),
+            Body::Routing(routing) => serde_json::to_string(&spec::Routing::from(routing)),
         };
         raw::Spec(value.unwrap_or_default())
     }
--- a/crates/conf/src/spec.rs
+++ b/crates/conf/src/spec.rs
@@ -26,6 +26,10 @@
     pub(crate) slots: Option<u16>,
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(crate) connections: Option<u16>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) identity: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) cold_ms: Option<u32>,
 }
 
 /// Fields of a `Domain`.
@@ -58,3 +62,38 @@
     pub(crate) name: String,
     pub(crate) code: u16,
 }
+
+/// Fields of a `Routing`.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Routing {
+    pub(crate) routes: Vec<Route>,
+    pub(crate) pools: Vec<Pool>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) idle_ms: Option<u32>,
+}
+
+/// One route in a `Routing`.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Route {
+    pub(crate) address: SocketAddr,
+    pub(crate) shares: Vec<Share>,
+}
+
+/// One pool's part in a `Route`.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Share {
+    pub(crate) pool: String,
+    pub(crate) weight: u32,
+}
+
+/// One pool in a `Routing`.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Pool {
+    pub(crate) name: String,
+    pub(crate) cold_per_minute: u32,
+    pub(crate) cold_ms: u32,
+}
--- a/crates/conf/src/table/build.rs
+++ b/crates/conf/src/table/build.rs
@@ -59,7 +59,7 @@
                 Body::Service(body) => input.services.push((meta, body)),
                 Body::Server(body) => input.servers.push((meta, body)),
                 Body::Domain(body) => input.domains.push((meta, body)),
-                Body::Report(_) => (),
+                Body::Report(_) | Body::Routing(_) => (),
             }
         }
         sort(&mut input.services);
--- /dev/null
+++ b/crates/forward/src/dump.rs
@@ -0,0 +1,47 @@
+//! The state as text, for operators and golden files.
+
+use std::fmt;
+
+use crate::state::Forwarder;
+
+impl fmt::Display for Forwarder {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ready = if self.is_ready() {
+            "ready"
+        } else {
+            "not ready"
+        };
+        writeln!(f, "balancer {} at {}: {ready}", self.group.me(), self.now)?;
+        if let Some(since) = self.stopping {
+            writeln!(f, "stopping since {since}")?;
+        }
+        let routing = self.table.routing_version();
+        writeln!(f, "routing r{routing}: {} routes", self.table.routes())?;
+        for feed in self.feeds.iter() {
+            let (kind, revision) = (feed.kind(), feed.store().revision());
+            write!(f, "{kind} r{revision}, ")?;
+            match feed.is_known() {
+                true => writeln!(f, "confirmed {} ago", feed.age(self.now))?,
+                false => writeln!(f, "not known")?,
+            }
+            for fault in feed.store().faults() {
+                writeln!(f, "  {fault}")?;
+            }
+        }
+        writeln!(f, "flows {}", self.flows.len())?;
+        for domain in self.table.domains() {
+            let state = if domain.out.is_some() { "out" } else { "in" };
+            writeln!(f, "domain {} {state}", domain.name)?;
+        }
+        for (key, row) in self.table.servers() {
+            writeln!(f, "{key} {row}, {} open at peers", self.loads.open(key))?;
+        }
+        for member in self.group.members() {
+            writeln!(f, "{member}")?;
+        }
+        for (name, count) in self.counts.iter() {
+            writeln!(f, "{name} {count}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/forward/src/event.rs
@@ -0,0 +1,52 @@
+//! What the reducer is told.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use conf::object::Kind;
+use conf::raw;
+use wire::frame::Frame;
+
+use crate::setting::Setting;
+
+/// An input of the reducer beside callers' packets.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time has passed; due every `tick::PERIOD`.
+    Tick,
+    /// The platform answered a read.
+    Objects {
+        /// The kind that was read.
+        kind: Kind,
+        /// The revision that the read started from; 0 for a listing of all.
+        since: u64,
+        /// The platform's revision at the answer.
+        upto: u64,
+        /// The objects; with deletion marks where `since` is not 0.
+        objects: Vec<raw::Object>,
+    },
+    /// A read failed.
+    Failed {
+        /// The kind that was to be read.
+        kind: Kind,
+        /// The history after the revision is gone: a listing is needed.
+        is_history_gone: bool,
+        /// What happened.
+        why: String,
+    },
+    /// Datagram addresses at which balancers may be.
+    Candidates(Vec<SocketAddr>),
+    /// A frame of a peer came.
+    Frame {
+        /// Where it came from.
+        peer: SocketAddr,
+        /// The frame.
+        frame: Frame,
+    },
+    /// The process was paused or its host suspended for this long.
+    Resumed(Span),
+    /// The settings changed.
+    Setting(Box<Setting>),
+    /// Stop without loss.
+    Stop,
+}
--- /dev/null
+++ b/crates/forward/src/peer.rs
@@ -0,0 +1,286 @@
+//! Membership and frames between balancers.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use bytes::Bytes;
+use conf::object::Kind;
+use conf::raw;
+use member::codec;
+use member::codec::Rider;
+use member::Group;
+use member::Member;
+use wire::frame::Body;
+use wire::frame::Flows;
+use wire::frame::Frame;
+use wire::frame::Objects;
+
+use crate::count;
+use crate::effect::Effect;
+use crate::load;
+use crate::note::Note;
+use crate::setting::Setting;
+use crate::state::Forwarder;
+use crate::tick;
+use crate::token::Mark;
+
+/// From one probe of a peer to the next. Flows do not depend on who is alive, only cold servers and
+/// the choice of the reader do.
+const PROBE_PERIOD: Span = Span::millis(400);
+/// How long a probe is waited for.
+const PROBE_TIMEOUT: Span = Span::millis(150);
+/// Most bytes of objects in one frame, so that it fits a datagram.
+const OBJECTS_BYTES: usize = 1_000;
+
+/// Makes the membership of a process that starts at `now`.
+pub(crate) fn group(setting: &Setting, now: Time) -> Group {
+    let me = Member {
+        incarnation: Incarnation::new(now, &setting.name),
+        name: setting.name.clone(),
+        domain: setting.domain.clone(),
+        peer: setting.peer,
+        admin: setting.admin,
+        epoch: 0,
+        state: member::State::Alive,
+        revision: 0,
+    };
+    let period = member::Setting::default().with_period(PROBE_PERIOD, PROBE_TIMEOUT);
+    let mut group = Group::new(me, period);
+    let seeds = member::Event::Candidates(setting.seeds.clone());
+    // Nothing is to be sent before the first tick, which probes the candidates.
+    group.step(now, seeds, &mut Vec::new());
+    group
+}
+
+/// Adds addresses at which balancers may be.
+pub(crate) fn candidates(state: &mut Forwarder, addresses: Vec<SocketAddr>, out: &mut Vec<Effect>) {
+    step(state, member::Event::Candidates(addresses), out);
+}
+
+/// Takes a frame of a peer in.
+pub(crate) fn frame(state: &mut Forwarder, peer: SocketAddr, frame: Frame, out: &mut Vec<Effect>) {
+    state.counts.add(count::Kind::Received);
+    let from = frame.from;
+    let body = match codec::decode(frame.body) {
+        Ok((message, rider)) => {
+            state.feeds.heard_newest(state.now, rider.revision);
+            let event = member::Event::Message {
+                from,
+                peer,
+                message,
+            };
+            return step(state, event, out);
+        }
+        Err(body) => *body,
+    };
+    match body {
+        Body::Flows(flows) => flows_of(state, from, &flows, out),
+        Body::Objects(told) => {
+            for objects in &told {
+                objects_of(state, from, objects, out);
+            }
+        }
+        // The rest is for balancers that relay requests.
+        _ => (),
+    }
+}
+
+fn flows_of(state: &mut Forwarder, from: Incarnation, flows: &Flows, out: &mut Vec<Effect>) {
+    let now = state.now;
+    state.loads.hear(now, from, &flows.open, &state.table);
+    for &mark in flows.silent.iter().take(load::SILENT_MAX) {
+        let Some(server) = state.table.find(Mark(mark)) else {
+            continue;
+        };
+        let row = state.table.server_mut(server);
+        // The peer's evidence is at least one wait for a copy old.
+        if row.health.doubt(now, now - load::PAUSE_MIN) {
+            out.push(Effect::Note(Note::Doubted {
+                server: row.name.clone(),
+                by: from,
+            }));
+        }
+    }
+}
+
+fn objects_of(state: &mut Forwarder, from: Incarnation, told: &Objects, out: &mut Vec<Effect>) {
+    let now = state.now;
+    let Ok(kind) = conf::object::kind(&told.kind) else {
+        return;
+    };
+    let decode = |bytes: &Bytes| postcard::from_bytes::<raw::Object>(bytes).ok();
+    let objects: Vec<raw::Object> = told.objects.iter().filter_map(decode).collect();
+    let Some(feed) = state.feeds.get_mut(kind) else {
+        return;
+    };
+    // A listing comes from the platform alone, and part of a change is a gap.
+    if told.since == 0 || objects.len() < told.objects.len() {
+        feed.refresh(now);
+        return;
+    }
+    let change = feed.hear(now, told.since, told.upto, told.age, &objects);
+    tick::apply(state, kind, change, Some(from), out);
+}
+
+/// Tells the balancers of the own failure domain what changed since a revision.
+pub(crate) fn tell(state: &mut Forwarder, kind: Kind, since: u64, out: &mut Vec<Effect>) {
+    let now = state.now;
+    let Some(feed) = state.feeds.get(kind) else {
+        return;
+    };
+    let upto = feed.store().revision();
+    let age = feed.age(now);
+    let mut parts = vec![part(kind, since, upto, age)];
+    let changed = match since {
+        0 => None,
+        _ => feed.store().delta(since),
+    };
+    let Some(changed) = changed else {
+        // Those that lack something find the gap and read it from the platform.
+        let mark = part(kind, upto, upto, age);
+        return broadcast(state, vec![mark], out);
+    };
+    let mut room = OBJECTS_BYTES;
+    for object in &changed {
+        let Ok(bytes) = postcard::to_allocvec(object) else {
+            continue;
+        };
+        let last = parts.len() - 1;
+        if bytes.len() > room && !parts[last].objects.is_empty() {
+            let next = part(kind, object.version - 1, upto, age);
+            parts[last].upto = next.since;
+            parts.push(next);
+            room = OBJECTS_BYTES;
+        }
+        if bytes.len() > OBJECTS_BYTES {
+            let mark = part(kind, upto, upto, age);
+            return broadcast(state, vec![mark], out);
+        }
+        room = room.saturating_sub(bytes.len());
+        let last = parts.len() - 1;
+        parts[last].objects.push(bytes.into());
+    }
+    for part in parts {
+        broadcast(state, vec![part], out);
+    }
+}
+
+fn part(kind: Kind, since: u64, upto: u64, age: Span) -> Objects {
+    Objects {
+        kind: kind.name().to_owned(),
+        since,
+        upto,
+        age,
+        objects: Vec::new(),
+    }
+}
+
+/// Tells the balancers of the own failure domain how far the knowledge of each kind goes.
+pub(crate) fn tell_marks(state: &mut Forwarder, out: &mut Vec<Effect>) {
+    let now = state.now;
+    let marks: Vec<Objects> = state
+        .feeds
+        .iter()
+        .filter(|feed| feed.is_known() && !feed.is_failing())
+        .map(|feed| {
+            let upto = feed.store().revision();
+            part(feed.kind(), upto, upto, feed.age(now))
+        })
+        .collect();
+    if !marks.is_empty() {
+        broadcast(state, marks, out);
+    }
+}
+
+fn broadcast(state: &mut Forwarder, objects: Vec<Objects>, out: &mut Vec<Effect>) {
+    tell_all(state, &Body::Objects(objects), out);
+}
+
+/// Tells the balancers of the own failure domain which flows are open here.
+pub(crate) fn tell_flows(state: &mut Forwarder, flows: Flows, out: &mut Vec<Effect>) {
+    tell_all(state, &Body::Flows(flows), out);
+}
+
+/// Returns the live balancers of the own failure domain but this one.
+pub(crate) fn neighbours(state: &Forwarder) -> impl Iterator<Item = &Member> {
+    let me = state.incarnation();
+    let members = state.group.alive_in(&state.setting.domain);
+    members.filter(move |member| member.incarnation != me)
+}
+
+fn tell_all(state: &mut Forwarder, body: &Body, out: &mut Vec<Effect>) {
+    let to: Vec<SocketAddr> = neighbours(state).map(|one| one.peer.datagram).collect();
+    for to in to {
+        send(state, to, body.clone(), out);
+    }
+}
+
+fn send(state: &mut Forwarder, to: SocketAddr, body: Body, out: &mut Vec<Effect>) {
+    state.counts.add(count::Kind::Sent);
+    let from = state.incarnation();
+    let frame = Frame { from, body };
+    out.push(Effect::Send { to, frame });
+}
+
+/// Passes an event to the membership, and does what it wants.
+pub(crate) fn step(state: &mut Forwarder, event: member::Event, out: &mut Vec<Effect>) {
+    let mut effects = Vec::new();
+    state.group.step(state.now, event, &mut effects);
+    for effect in effects {
+        take(state, effect, out);
+    }
+}
+
+fn take(state: &mut Forwarder, effect: member::Effect, out: &mut Vec<Effect>) {
+    match effect {
+        member::Effect::Send { to, message } => {
+            let rider = Rider {
+                revision: state.feeds.newest(),
+                loads: Vec::new(),
+            };
+            send(state, to.datagram, codec::encode(message, rider), out);
+        }
+        member::Effect::Joined(one) => note(state, one, "joined", out),
+        member::Effect::Dead(one) => {
+            state.loads.forget(one);
+            note(state, one, "dead", out);
+        }
+        member::Effect::Left(one) => {
+            state.loads.forget(one);
+            note(state, one, "left", out);
+        }
+        member::Effect::Changed(_) => (),
+        member::Effect::Cut(domain) => {
+            let is_cut = true;
+            out.push(Effect::Note(Note::Domain { domain, is_cut }));
+        }
+        member::Effect::Healed(domain) => {
+            let is_cut = false;
+            out.push(Effect::Note(Note::Domain { domain, is_cut }));
+        }
+        member::Effect::Superseded => restart(state, out),
+    }
+}
+
+fn note(state: &Forwarder, one: Incarnation, what: &'static str, out: &mut Vec<Effect>) {
+    let member = state.group.get(one);
+    out.push(Effect::Note(Note::Peer {
+        name: member.map_or_else(String::new, |member| member.name.clone()),
+        incarnation: one,
+        state: what,
+    }));
+}
+
+/// Starts again under a new identity: peers have given the old one up.
+fn restart(state: &mut Forwarder, out: &mut Vec<Effect>) {
+    let me = state.incarnation();
+    let known: Vec<SocketAddr> = state
+        .group
+        .members()
+        .filter(|member| member.incarnation != me)
+        .map(|member| member.peer.datagram)
+        .collect();
+    state.group = group(&state.setting, state.now);
+    note(state, state.incarnation(), "started again", out);
+    candidates(state, known, out);
+}
--- /dev/null
+++ b/crates/forward/src/pick.rs
@@ -0,0 +1,109 @@
+//! The backend server of a new flow.
+//!
+//! The one with the fewest open flows for each slot, counting what peers told; a server of another
+//! failure domain only when it has clearly fewer. Ties go by the hash of the flow, so that balancers
+//! which know the same do not all turn to the same server.
+
+use base::prelude::*;
+use conf::key;
+
+use crate::flow::Basis;
+use crate::load::Loads;
+use crate::table::Table;
+
+/// Cost of one open flow for each slot.
+const FLOW: u64 = 1_000;
+/// Open flows for each slot that a server of another failure domain must have less: its packets pass
+/// links that are slower and cost more.
+const ABROAD: u64 = FLOW;
+
+/// What a choice is made from.
+pub struct Choice<'a> {
+    /// What is in force.
+    pub table: &'a Table,
+    /// What peers hold open.
+    pub loads: &'a Loads,
+    /// The balancer's own failure domain.
+    pub home: &'a str,
+    /// The time.
+    pub now: Time,
+    /// Hash of the flow.
+    pub flow: u64,
+    /// A server that the flow was given to without an answer.
+    pub except: Option<key::Server>,
+}
+
+/// What came of a choice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pick {
+    /// This server.
+    Server(key::Server, Basis),
+    /// None now, but one that is cold or suspected may be free soon.
+    Later,
+    /// None.
+    Never,
+}
+
+impl Choice<'_> {
+    /// Chooses a server of the pool. `may_warm` tells whether this balancer opens flows at a cold
+    /// server.
+    pub fn pick(&self, pool: key::Pool, may_warm: impl Fn(key::Server) -> bool) -> Pick {
+        let mut best: Option<(u64, u64, key::Server)> = None;
+        let mut candidates = 0u16;
+        let mut is_held = false;
+        for &server in &self.table.pool(pool).servers {
+            if !self.is_open(server) {
+                continue;
+            }
+            if !self.is_free(server, &may_warm) {
+                is_held = true;
+                continue;
+            }
+            candidates = candidates.saturating_add(1);
+            let mark = self.table.server(server).mark;
+            let tie = route::rank::score(self.flow, u64::from(mark.0));
+            let rank = (self.cost(server), tie, server);
+            if best.is_none_or(|best| rank < best) {
+                best = Some(rank);
+            }
+        }
+        match best {
+            Some((_, _, server)) => Pick::Server(server, self.basis(server, candidates)),
+            None if is_held => Pick::Later,
+            None => Pick::Never,
+        }
+    }
+
+    fn is_open(&self, server: key::Server) -> bool {
+        let row = self.table.server(server);
+        let is_out = self.table.domain(row.domain).out.is_some();
+        row.is_listed(self.now) && !is_out && self.except != Some(server)
+    }
+
+    fn is_free(&self, server: key::Server, may_warm: impl Fn(key::Server) -> bool) -> bool {
+        let row = self.table.server(server);
+        if !row.health.is_due(self.now) {
+            return false;
+        }
+        if !self.table.is_cold(server, self.now) {
+            return true;
+        }
+        self.now >= row.cold_next && may_warm(server)
+    }
+
+    fn cost(&self, server: key::Server) -> u64 {
+        let row = self.table.server(server);
+        let open = u64::from(row.open + self.loads.open(server));
+        let is_abroad = self.table.domain(row.domain).name != self.home;
+        open * FLOW / u64::from(row.slots.max(1)) + u64::from(is_abroad) * ABROAD
+    }
+
+    fn basis(&self, server: key::Server, candidates: u16) -> Basis {
+        let open = self.table.server(server).open + self.loads.open(server);
+        Basis {
+            candidates,
+            open: u16::try_from(open).unwrap_or(u16::MAX),
+            age: self.loads.age(self.now),
+        }
+    }
+}
--- /dev/null
+++ b/crates/member/src/codec.rs
@@ -0,0 +1,113 @@
+//! Messages as peers' frames carry them.
+
+use wire::frame::Body;
+use wire::frame::Gossip;
+use wire::frame::Load;
+use wire::frame::Update;
+
+use crate::event::Message;
+use crate::record::Member;
+use crate::record::UnknownState;
+
+/// News that ride on a message beside the membership updates.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Rider {
+    /// The sender's configuration revision.
+    pub revision: u64,
+    /// Loads of backend servers.
+    pub loads: Vec<Load>,
+}
+
+/// Makes the body of the frame that carries a message.
+pub fn encode(message: Message, rider: Rider) -> Body {
+    let gossip = Gossip {
+        revision: rider.revision,
+        updates: message.updates().iter().map(Update::from).collect(),
+        loads: rider.loads,
+    };
+    match message {
+        Message::Ping { seq, .. } => Body::Ping { seq, gossip },
+        Message::Ack { seq, .. } => Body::Ack { seq, gossip },
+        Message::PingReq { seq, target, .. } => Body::PingReq {
+            seq,
+            target,
+            gossip,
+        },
+    }
+}
+
+/// Reads the message that the body of a frame carries. Updates with an unknown state are left out.
+///
+/// # Errors
+///
+/// Returns the body when it carries no membership message.
+pub fn decode(body: Body) -> Result<(Message, Rider), Box<Body>> {
+    match body {
+        Body::Ping { seq, gossip } => {
+            let (updates, rider) = split(gossip);
+            Ok((Message::Ping { seq, updates }, rider))
+        }
+        Body::Ack { seq, gossip } => {
+            let (updates, rider) = split(gossip);
+            Ok((Message::Ack { seq, updates }, rider))
+        }
+        Body::PingReq {
+            seq,
+            target,
+            gossip,
+        } => {
+            let (updates, rider) = split(gossip);
+            let message = Message::PingReq {
+                seq,
+                target,
+                updates,
+            };
+            Ok((message, rider))
+        }
+        body => Err(Box::new(body)),
+    }
+}
+
+fn split(gossip: Gossip) -> (Vec<Member>, Rider) {
+    let updates = gossip.updates.into_iter();
+    let members = updates
+        .filter_map(|update| update.try_into().ok())
+        .collect();
+    let rider = Rider {
+        revision: gossip.revision,
+        loads: gossip.loads,
+    };
+    (members, rider)
+}
+
+impl From<&Member> for Update {
+    fn from(member: &Member) -> Update {
+        Update {
+            member: member.incarnation,
+            name: member.name.clone(),
+            domain: member.domain.clone(),
+            peer: member.peer,
+            admin: member.admin,
+            epoch: member.epoch,
+            state: member.state.into(),
+            revision: member.revision,
+        }
+    }
+}
+
+impl TryFrom<Update> for Member {
+    type Error = UnknownState;
+
+    fn try_from(update: Update) -> Result<Member, UnknownState> {
+        Ok(Member {
+            incarnation: update.member,
+            name: update.name,
+            domain: update.domain,
+            peer: update.peer,
+            admin: update.admin,
+            epoch: update.epoch,
+            state: update.state.try_into()?,
+            revision: update.revision,
+        })
+    }
+}
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -9,8 +9,10 @@
 //! - `event`: events, messages and effects.
 //! - `setting`: periods, limits and sizes.
 //! - `group`: the reducer.
+//! - `codec`: messages as peers' frames carry them.
 //! - `prelude`: the types above.
 
+pub mod codec;
 pub mod event;
 pub mod group;
 pub mod prelude;
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -4,14 +4,14 @@
 
 use base::prelude::*;
 use conf::key;
+use member::codec;
+use member::codec::Rider;
 use member::Group;
 use member::Member;
 use member::Message;
 use wire::frame::Body;
 use wire::frame::Frame;
-use wire::frame::Gossip;
 use wire::frame::Load;
-use wire::frame::Update;
 
 use crate::dump;
 use crate::effect::Effect;
@@ -71,28 +71,14 @@
 /// Takes a peer's message in.
 pub(crate) fn frame(node: &mut Node, peer: SocketAddr, frame: Frame, out: &mut Vec<Effect>) {
     let from = frame.from;
-    match frame.body {
-        Body::Ping { seq, gossip } => {
-            let updates = hear(node, from, gossip, out);
-            message(node, from, peer, Message::Ping { seq, updates }, out);
-        }
-        Body::Ack { seq, gossip } => {
-            let updates = hear(node, from, gossip, out);
-            message(node, from, peer, Message::Ack { seq, updates }, out);
-        }
-        Body::PingReq {
-            seq,
-            target,
-            gossip,
-        } => {
-            let updates = hear(node, from, gossip, out);
-            let body = Message::PingReq {
-                seq,
-                target,
-                updates,
-            };
-            message(node, from, peer, body, out);
+    let body = match codec::decode(frame.body) {
+        Ok((news, rider)) => {
+            hear(node, from, rider, out);
+            return message(node, from, peer, news, out);
         }
+        Err(body) => *body,
+    };
+    match body {
         Body::Relay(relay) => entry::arrive(node, relay, out),
         Body::Pull { since } => spread::pull(node, from, since, out),
         Body::Delta {
@@ -104,20 +90,21 @@
         Body::Taken { server, seq } => handover::taken(node, from, server, seq),
         Body::Finished { server, record } => handover::finished(node, from, server, record, out),
         Body::FinishedAck { server, key } => handover::finished_ack(node, server, key),
+        // Membership messages were taken above; the rest is for balancers that forward packets.
+        Body::Ping { .. }
+        | Body::Ack { .. }
+        | Body::PingReq { .. }
+        | Body::Flows(_)
+        | Body::Objects(_) => (),
     }
 }
 
-/// Takes news in and returns the membership updates among them.
-fn hear(node: &mut Node, from: Incarnation, gossip: Gossip, out: &mut Vec<Effect>) -> Vec<Member> {
-    for load in gossip.loads {
+/// Takes in the news that ride on a membership message.
+fn hear(node: &mut Node, from: Incarnation, rider: Rider, out: &mut Vec<Effect>) {
+    for load in rider.loads {
         hear_load(node, load);
     }
-    spread::heard(node, from, gossip.revision, out);
-    gossip
-        .updates
-        .into_iter()
-        .filter_map(|update| member_of(update).ok())
-        .collect()
+    spread::heard(node, from, rider.revision, out);
 }
 
 fn hear_load(node: &mut Node, load: Load) {
@@ -213,47 +200,11 @@
 }
 
 fn body_of(node: &mut Node, message: Message) -> Body {
-    let updates = message.updates().iter().map(update_of).collect();
-    let gossip = Gossip {
+    let rider = Rider {
         revision: node.store.complete(),
-        updates,
         loads: node.board.forward(),
     };
-    match message {
-        Message::Ping { seq, .. } => Body::Ping { seq, gossip },
-        Message::Ack { seq, .. } => Body::Ack { seq, gossip },
-        Message::PingReq { seq, target, .. } => Body::PingReq {
-            seq,
-            target,
-            gossip,
-        },
-    }
-}
-
-fn update_of(member: &Member) -> Update {
-    Update {
-        member: member.incarnation,
-        name: member.name.clone(),
-        domain: member.domain.clone(),
-        peer: member.peer,
-        admin: member.admin,
-        epoch: member.epoch,
-        state: member.state.into(),
-        revision: member.revision,
-    }
-}
-
-fn member_of(update: Update) -> Result<Member, member::record::UnknownState> {
-    Ok(Member {
-        incarnation: update.member,
-        name: update.name,
-        domain: update.domain,
-        peer: update.peer,
-        admin: update.admin,
-        epoch: update.epoch,
-        state: update.state.try_into()?,
-        revision: update.revision,
-    })
+    codec::encode(message, rider)
 }
 
 /// Keeps membership and loads going.
--- a/crates/node/src/text.rs
+++ b/crates/node/src/text.rs
@@ -76,6 +76,8 @@
             Body::FinishedAck { server, key } => {
                 write!(f, "heard of message {} of uid {server}", key.message)
             }
+            Body::Flows(flows) => write!(f, "flows at {} servers", flows.open.len()),
+            Body::Objects(told) => write!(f, "objects of {} kinds", told.len()),
         }
     }
 }
--- a/crates/plat/src/answer.rs
+++ b/crates/plat/src/answer.rs
@@ -3,6 +3,7 @@
 use std::net::IpAddr;
 use std::net::SocketAddr;
 
+use conf::object::Kind;
 use conf::raw;
 use serde::Deserialize;
 use serde::Serialize;
@@ -15,6 +16,19 @@
     pub revision: u64,
     /// The objects; in the answer to a watch, deletion marks too.
     pub objects: Vec<raw::Object>,
+    /// Entries that could not be read as objects.
+    pub unread: Vec<Unread>,
+}
+
+/// An entry that could not be read as an object.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Unread {
+    /// The kind that was asked for.
+    pub kind: Kind,
+    /// Its name, as far as it has one.
+    pub name: String,
+    /// Why.
+    pub why: String,
 }
 
 /// A host in the platform's list.
@@ -51,6 +65,7 @@
         List {
             revision: objects.revision,
             objects: objects.objects.into_iter().filter_map(object).collect(),
+            unread: Vec::new(),
         }
     }
 }
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -1,6 +1,8 @@
 //! Client of the platform's object API.
 //!
 //! - `client`: one call each for list, get, put, delete, watch and hosts.
+//! - `http`: HTTP calls, whatever the paths and bodies are.
+//! - `source`: what a balancer that forwards packets reads, from any platform.
 //! - `answer`: what the calls return.
 //! - `error`: how a call can fail, and whether a write may have taken effect.
 //! - `edit`: conditional changes that survive races and lost answers.
@@ -9,6 +11,8 @@
 pub mod client;
 pub mod edit;
 pub mod error;
+pub mod http;
+pub mod source;
 
 pub use client::Client;
 pub use error::Error;
--- /dev/null
+++ b/crates/plat/src/source.rs
@@ -0,0 +1,74 @@
+//! A platform that objects are read from, one kind at a time.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use conf::object::Kind;
+
+use crate::answer::List;
+use crate::client::Client;
+use crate::error::Error;
+
+/// Where a balancer hears its peers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Announcement {
+    /// Name of the balancer.
+    pub name: String,
+    /// Its datagram address for peers.
+    pub peer: SocketAddr,
+}
+
+/// What a balancer that forwards packets needs of a platform.
+pub trait Source: Clone + Send + Sync + 'static {
+    /// Lists the objects of a kind.
+    fn list(&self, kind: Kind) -> impl Future<Output = Result<List, Error>> + Send;
+
+    /// Returns what changed of a kind after `since`, at once or when there is any, at last after
+    /// `wait`.
+    fn watch(
+        &self,
+        kind: Kind,
+        since: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<List, Error>> + Send;
+
+    /// Makes a balancer known to others.
+    fn announce(&self, own: &Announcement) -> impl Future<Output = Result<(), Error>> + Send;
+
+    /// Takes back what `announce` made known.
+    fn withdraw(&self, name: &str) -> impl Future<Output = Result<(), Error>> + Send;
+
+    /// Lists the balancers that were made known.
+    fn balancers(&self) -> impl Future<Output = Result<Vec<Announcement>, Error>> + Send;
+}
+
+impl Source for Client {
+    async fn list(&self, kind: Kind) -> Result<List, Error> {
+        Client::list(self, Some(kind)).await
+    }
+
+    async fn watch(&self, kind: Kind, since: u64, wait: Duration) -> Result<List, Error> {
+        Client::watch(self, since, wait, &[kind]).await
+    }
+
+    /// The platform's list of hosts has the addresses already.
+    async fn announce(&self, _own: &Announcement) -> Result<(), Error> {
+        Ok(())
+    }
+
+    async fn withdraw(&self, _name: &str) -> Result<(), Error> {
+        Ok(())
+    }
+
+    async fn balancers(&self) -> Result<Vec<Announcement>, Error> {
+        let hosts = self.hosts().await?.into_iter();
+        let announcement = |host: crate::answer::Host| {
+            Some(Announcement {
+                name: host.ip.to_string(),
+                peer: host.datagram?,
+            })
+        };
+        Ok(hosts.filter_map(announcement).collect())
+    }
+}
--- a/crates/shell/src/clock.rs
+++ b/crates/shell/src/clock.rs
@@ -13,13 +13,14 @@
 /// A step of the clock from one turn of the loop to the next that counts as a pause.
 pub const PAUSE: Span = Span::millis(500);
 
-/// Wall-clock time that never goes back: read once at the start and advanced by the monotonic clock.
+/// Wall-clock time that never goes back: read once at the start and advanced by the clock that also
+/// counts the time for which the host was suspended.
 ///
 /// Clones share the last turn of the loop.
 #[derive(Clone, Debug)]
 pub struct Clock {
     base: Time,
-    start: Instant,
+    start: Duration,
     turn: Arc<AtomicU64>,
 }
 
@@ -32,19 +33,19 @@
         let base = Time(wall.as_micros() as u64);
         Clock {
             base,
-            start: Instant::now(),
+            start: since_boot(),
             turn: Arc::new(AtomicU64::new(base.0)),
         }
     }
 
     /// Reads the clock.
     pub fn now(&self) -> Time {
-        self.base + span(self.start.elapsed())
+        self.base + span(since_boot().saturating_sub(self.start))
     }
 
     /// Returns the instant that corresponds to `time`.
     pub fn instant(&self, time: Time) -> Instant {
-        self.start + Duration::from_micros(time.since(self.base).0)
+        Instant::now() + Duration::from_micros(time.since(self.now()).0)
     }
 
     /// Begins a turn of the loop at `now` and returns the pause since the last one, if any.
@@ -69,6 +70,12 @@
     }
 }
 
+/// Reads the time since the host started, suspended time included.
+fn since_boot() -> Duration {
+    let read = nix::time::clock_gettime(nix::time::ClockId::CLOCK_BOOTTIME);
+    Duration::from(read.expect("Linux has the clock since 2.6.39"))
+}
+
 /// Converts a duration.
 pub fn span(duration: Duration) -> Span {
     Span(duration.as_micros() as u64)
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -9,6 +9,7 @@
 //! - `stream`: QUIC streams between balancers, authenticated by `identity`.
 //! - `http`: requests to backend servers, each over a `connection`, with `format` for content types.
 //! - `watch`: the platform's objects, hosts and reports, read through `platform`.
+//! - `packets`: the same for balancers that forward packets.
 //! - `admin`: pages for operators.
 //! - `metric`: counters and histograms.
 //! - `log`: JSON lines.
@@ -21,6 +22,7 @@
 pub mod identity;
 pub mod log;
 pub mod metric;
+pub mod packets;
 pub mod peer;
 pub mod platform;
 pub mod reducer;
--- a/crates/shell/src/log.rs
+++ b/crates/shell/src/log.rs
@@ -1,9 +1,23 @@
-//! The log: JSON lines on stderr with the balancer's name, and a limit on repeats.
+//! The log: JSON lines with the balancer's name, and a limit on repeats.
+//!
+//! Lines go to a buffer of bounded size. The loop writes it out when standard output takes bytes
+//! without blocking; lines that find the buffer full are counted and left out.
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::fs::File;
+use std::io;
+use std::io::Write;
+use std::os::fd::AsFd;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 
 use base::prelude::*;
+use nix::poll::PollFd;
+use nix::poll::PollFlags;
+use nix::poll::PollTimeout;
 use serde_json::Map;
 use serde_json::Value;
 use tracing::field::Field;
@@ -16,6 +30,7 @@
 use tracing_subscriber::fmt::FmtContext;
 use tracing_subscriber::fmt::FormatEvent;
 use tracing_subscriber::fmt::FormatFields;
+use tracing_subscriber::fmt::MakeWriter;
 use tracing_subscriber::registry::LookupSpan;
 use tracing_subscriber::EnvFilter;
 
@@ -24,22 +39,124 @@
 /// Time after which one more line of a code is let through.
 const REFILL: Span = Span::secs(1);
 
+/// Bytes that wait to be written, at most: seconds of the most lines that a balancer writes.
+const BUFFER_MAX: usize = 256 * 1024;
+/// Bytes of one write: what a pipe that polls as writable takes without blocking.
+const WRITE_MAX: usize = 4_096;
+
 /// Sends the log of the whole process to stderr.
 ///
 /// # Errors
 ///
 /// Fails when the filter is not valid or a log was set up before.
 pub fn start(name: &str, filter: &str) -> eyre::Result<()> {
+    start_with(name, filter, io::stderr)
+}
+
+/// Sends the log of the whole process to standard output, through the buffer that is returned.
+///
+/// # Errors
+///
+/// Fails as `start` does, or when standard output is closed.
+pub fn start_buffered(name: &str, filter: &str) -> eyre::Result<Sink> {
+    let sink = Sink::new()?;
+    let writer = sink.clone();
+    start_with(name, filter, move || writer.clone())?;
+    Ok(sink)
+}
+
+fn start_with<W>(name: &str, filter: &str, writer: W) -> eyre::Result<()>
+where
+    W: for<'a> MakeWriter<'a> + Send + Sync + 'static,
+{
     let filter: EnvFilter = filter.parse()?;
     let balancer = name.to_owned();
     tracing_subscriber::fmt()
         .with_env_filter(filter)
-        .with_writer(std::io::stderr)
+        .with_writer(writer)
         .event_format(Json { balancer })
         .try_init()
         .map_err(|e| eyre::eyre!("cannot set up the log: {e}"))
 }
 
+/// Lines on their way to standard output. Clones share them.
+#[derive(Clone, Debug)]
+pub struct Sink {
+    output: Arc<File>,
+    waiting: Arc<Mutex<Waiting>>,
+}
+
+#[derive(Debug, Default)]
+struct Waiting {
+    bytes: Vec<u8>,
+    left_out: u64,
+}
+
+impl Sink {
+    fn new() -> io::Result<Sink> {
+        let output = io::stdout().as_fd().try_clone_to_owned()?;
+        Ok(Sink {
+            output: Arc::new(output.into()),
+            waiting: Arc::default(),
+        })
+    }
+
+    /// Writes what standard output takes without blocking.
+    ///
+    /// # Errors
+    ///
+    /// Fails as standard output does; the lines then wait on.
+    pub fn flush_ready(&self) -> io::Result<()> {
+        let mut waiting = self.lock();
+        let mut written = 0;
+        let mut result = Ok(());
+        while written < waiting.bytes.len() && self.takes_bytes()? {
+            let end = waiting.bytes.len().min(written + WRITE_MAX);
+            match (&*self.output).write(&waiting.bytes[written..end]) {
+                Ok(0) => break,
+                Ok(count) => written += count,
+                Err(error) => {
+                    result = Err(error);
+                    break;
+                }
+            }
+        }
+        waiting.bytes.drain(..written);
+        result
+    }
+
+    /// Returns how many lines found the buffer full since the last call.
+    pub fn take_left_out(&self) -> u64 {
+        std::mem::take(&mut self.lock().left_out)
+    }
+
+    fn takes_bytes(&self) -> io::Result<bool> {
+        let mut polled = [PollFd::new(self.output.as_fd(), PollFlags::POLLOUT)];
+        let count = nix::poll::poll(&mut polled, PollTimeout::ZERO)?;
+        Ok(count > 0)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Waiting> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Write for Sink {
+    /// Takes a line whole or leaves it out.
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        let mut waiting = self.lock();
+        match waiting.bytes.len() + line.len() <= BUFFER_MAX {
+            true => waiting.bytes.extend_from_slice(line),
+            false => waiting.left_out += 1,
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 /// Formats an event as one JSON object.
 struct Json {
     balancer: String,
--- a/crates/shell/src/metric.rs
+++ b/crates/shell/src/metric.rs
@@ -81,6 +81,9 @@
     platform: Counter<u64>,
     steps: Histogram<f64>,
     pauses: Counter<u64>,
+    opened: Histogram<f64>,
+    closed: Histogram<f64>,
+    requests: Counter<u64>,
 }
 
 impl Metric {
@@ -135,6 +138,17 @@
                 &STEP_BOUNDS,
             ),
             pauses: counter("wasabi_pauses", "Pauses of the process."),
+            opened: histogram(
+                "wasabi_flow_open_time",
+                "Time from an opening packet to the caller's answer to the server's.",
+                &LATENCY_BOUNDS,
+            ),
+            closed: histogram(
+                "wasabi_flow_time",
+                "Time from the first opening packet of a flow to its end.",
+                &LATENCY_BOUNDS,
+            ),
+            requests: counter("wasabi_flows", "Flows opened or refused, by outcome."),
             registry,
             provider,
             meter,
@@ -205,6 +219,23 @@
         self.pauses.add(1, &[]);
     }
 
+    /// Counts a flow that a backend server answered.
+    pub fn opened(&self, took: Span) {
+        self.opened.record(took.0 as f64 / 1e6, &[]);
+        self.flow("opened");
+    }
+
+    /// Counts a flow that its caller ended.
+    pub fn closed(&self, lasted: Span) {
+        self.closed.record(lasted.0 as f64 / 1e6, &[]);
+        self.flow("closed");
+    }
+
+    /// Counts the outcome of a flow.
+    pub fn flow(&self, outcome: &'static str) {
+        self.requests.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Renders all metrics, with the reducer's own counts as gauges.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/shell/src/packets.rs
@@ -0,0 +1,15 @@
+//! The shell around the reducer of packet forwarding.
+//!
+//! One thread and one loop: a packet costs a share of one read and one write of a batch.
+//!
+//! - `setting`: settings from flags, the environment and a file, checked as a whole.
+//! - `batch`: a UDP socket that is read and written many datagrams at a time.
+//! - `source`: reads of the platform, as tasks.
+//! - `trace`: log lines of the reducer's decisions.
+//! - `run`: the process.
+
+pub mod batch;
+pub mod run;
+pub mod setting;
+pub mod source;
+pub mod trace;
--- /dev/null
+++ b/crates/shell/src/packets/batch.rs
@@ -0,0 +1,236 @@
+//! A UDP socket that is read and written many datagrams at a time.
+
+use std::io;
+use std::io::IoSlice;
+use std::io::IoSliceMut;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::os::fd::AsRawFd;
+
+use forward::codec::ADDRESS_BYTES;
+use nix::errno::Errno;
+use nix::sys::socket::recvmmsg;
+use nix::sys::socket::sendmmsg;
+use nix::sys::socket::sendto;
+use nix::sys::socket::ControlMessage;
+use nix::sys::socket::MsgFlags;
+use nix::sys::socket::MultiHeaders;
+use nix::sys::socket::SockaddrIn;
+use nix::sys::socket::SockaddrStorage;
+use tokio::io::Interest;
+use tokio::net::UdpSocket;
+
+/// Datagrams of one system call.
+pub const BATCH: usize = 32;
+/// Bytes of the longest datagram that is taken, and one more to tell longer ones.
+const DATAGRAM_BYTES: usize = 1_500;
+/// Bytes of a buffer: a datagram, with room in front for the address of a backend server.
+const SLOT_BYTES: usize = ADDRESS_BYTES + DATAGRAM_BYTES;
+/// Most reads that empty the socket after a pause.
+const DRAIN_READS: usize = 10_000;
+
+/// Datagrams of one read.
+pub struct Batch {
+    socket: UdpSocket,
+    local: SocketAddr,
+    reads: MultiHeaders<SockaddrIn>,
+    /// Not those of `reads`: the library leaves the addresses of the last call in them.
+    writes: MultiHeaders<SockaddrIn>,
+    slots: Vec<u8>,
+    /// Length and sender of each datagram that was read.
+    read: Vec<(usize, SocketAddr)>,
+    /// What is to be sent: a slot, the range of its bytes, and where to.
+    sends: Vec<Send>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Send {
+    start: usize,
+    end: usize,
+    to: SocketAddrV4,
+}
+
+/// A datagram that was read.
+pub struct Datagram<'a> {
+    /// Its sender.
+    pub from: SocketAddr,
+    /// Its bytes.
+    pub data: &'a mut [u8],
+}
+
+impl Batch {
+    /// Binds a socket.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub fn bind(address: SocketAddr) -> io::Result<Batch> {
+        let socket = std::net::UdpSocket::bind(address)?;
+        socket.set_nonblocking(true)?;
+        let local = socket.local_addr()?;
+        Ok(Batch {
+            socket: UdpSocket::from_std(socket)?,
+            local,
+            reads: MultiHeaders::preallocate(BATCH, None),
+            writes: MultiHeaders::preallocate(BATCH, None),
+            slots: vec![0; BATCH * SLOT_BYTES],
+            read: Vec::with_capacity(BATCH),
+            sends: Vec::with_capacity(BATCH),
+        })
+    }
+
+    /// Returns the bound address.
+    pub fn local(&self) -> SocketAddr {
+        self.local
+    }
+
+    /// Waits for datagrams and reads a batch of them. Cancel safe.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the socket does.
+    pub async fn recv(&mut self) -> io::Result<usize> {
+        loop {
+            self.socket.readable().await?;
+            let fd = self.socket.as_raw_fd();
+            let count = fill(fd, &mut self.reads, &mut self.slots, &mut self.read)?;
+            // Fewer than a batch means that the socket is empty: the next datagram wakes it again.
+            if count < BATCH {
+                self.clear_ready();
+            }
+            if count > 0 {
+                return Ok(count);
+            }
+        }
+    }
+
+    /// Tells the runtime that the socket is empty, without one more read that would show it.
+    fn clear_ready(&self) {
+        let empty = || Err::<(), _>(io::ErrorKind::WouldBlock.into());
+        let cleared = self.socket.try_io(Interest::READABLE, empty);
+        debug_assert!(cleared.is_err(), "an empty socket gives nothing");
+    }
+
+    /// Returns a datagram of the last read.
+    pub fn datagram(&mut self, index: usize) -> Datagram<'_> {
+        let (length, from) = self.read[index];
+        let start = index * SLOT_BYTES + ADDRESS_BYTES;
+        Datagram {
+            from,
+            data: &mut self.slots[start..start + length],
+        }
+    }
+
+    /// Has a datagram of the last read sent on, with an address in front.
+    pub fn forward(&mut self, index: usize, address: [u8; ADDRESS_BYTES], to: SocketAddrV4) {
+        let start = index * SLOT_BYTES;
+        self.slots[start..start + ADDRESS_BYTES].copy_from_slice(&address);
+        let end = start + ADDRESS_BYTES + self.read[index].0;
+        self.sends.push(Send { start, end, to });
+    }
+
+    /// Has the buffer of a datagram of the last read sent, up to `length`.
+    pub fn answer(&mut self, index: usize, length: usize, to: SocketAddrV4) {
+        let start = index * SLOT_BYTES + ADDRESS_BYTES;
+        let end = start + length;
+        self.sends.push(Send { start, end, to });
+    }
+
+    /// Returns the whole buffer of a datagram of the last read.
+    pub fn buffer(&mut self, index: usize) -> &mut [u8] {
+        let start = index * SLOT_BYTES + ADDRESS_BYTES;
+        &mut self.slots[start..start + DATAGRAM_BYTES]
+    }
+
+    /// Sends what is to be sent. Whatever cannot be sent now is lost.
+    ///
+    /// Returns how many were lost.
+    pub fn flush(&mut self) -> usize {
+        let fd = self.socket.as_raw_fd();
+        let mut done = 0;
+        let mut lost = 0;
+        while done < self.sends.len() {
+            let sends = &self.sends[done..];
+            let slices: Vec<[IoSlice<'_>; 1]> = sends
+                .iter()
+                .map(|send| [IoSlice::new(&self.slots[send.start..send.end])])
+                .collect();
+            let to: Vec<Option<SockaddrIn>> = sends
+                .iter()
+                .map(|send| Some(SockaddrIn::from(send.to)))
+                .collect();
+            let none: [ControlMessage<'_>; 0] = [];
+            let flags = MsgFlags::MSG_DONTWAIT;
+            let sent = sendmmsg(fd, &mut self.writes, &slices, &to, none, flags);
+            match sent.map(Iterator::count) {
+                Ok(0) => break,
+                Ok(count) => done += count,
+                Err(Errno::EINTR) => (),
+                Err(_) => {
+                    // The first one cannot be sent; the others may.
+                    lost += 1;
+                    done += 1;
+                }
+            }
+        }
+        lost += self.sends.len() - done;
+        self.sends.clear();
+        lost
+    }
+
+    /// Sends one datagram. Whatever cannot be sent now is lost.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the socket does.
+    pub fn send(&self, to: SocketAddr, data: &[u8]) -> io::Result<()> {
+        let to = SockaddrStorage::from(to);
+        let sent = sendto(self.socket.as_raw_fd(), data, &to, MsgFlags::MSG_DONTWAIT);
+        sent.map(drop).map_err(io::Error::from)
+    }
+
+    /// Drops all datagrams that wait, and returns how many there were.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the socket does.
+    pub fn drain(&mut self) -> io::Result<usize> {
+        let fd = self.socket.as_raw_fd();
+        let mut dropped = 0;
+        for _ in 0..DRAIN_READS {
+            match fill(fd, &mut self.reads, &mut self.slots, &mut self.read)? {
+                0 => break,
+                count => dropped += count,
+            }
+        }
+        Ok(dropped)
+    }
+}
+
+/// Reads a batch, none when nothing waits.
+fn fill(
+    fd: i32,
+    headers: &mut MultiHeaders<SockaddrIn>,
+    slots: &mut [u8],
+    read: &mut Vec<(usize, SocketAddr)>,
+) -> io::Result<usize> {
+    read.clear();
+    let mut slices: Vec<[IoSliceMut<'_>; 1]> = slots
+        .chunks_mut(SLOT_BYTES)
+        .map(|slot| [IoSliceMut::new(&mut slot[ADDRESS_BYTES..])])
+        .collect();
+    let flags = MsgFlags::MSG_DONTWAIT;
+    let received = match recvmmsg(fd, headers, slices.iter_mut(), flags, None) {
+        Ok(received) => received,
+        Err(Errno::EAGAIN | Errno::EINTR) => return Ok(0),
+        // An earlier datagram found nobody; that says nothing of those that wait.
+        Err(Errno::ECONNREFUSED) => return Ok(0),
+        Err(error) => return Err(error.into()),
+    };
+    for message in received {
+        let from = message.address.map(SocketAddrV4::from);
+        let from = from.unwrap_or(SocketAddrV4::new([0, 0, 0, 0].into(), 0));
+        read.push((message.bytes, SocketAddr::V4(from)));
+    }
+    Ok(read.len())
+}
--- /dev/null
+++ b/crates/shell/src/packets/setting.rs
@@ -0,0 +1,189 @@
+//! Settings from flags, the environment and a file, checked as a whole.
+//!
+//! The file has a line `NAME=value` for each setting, under the names of the environment variables.
+//! A flag goes before a variable, and a variable before the file.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use forward::cold::Bound;
+
+use crate::setting::Check;
+use crate::setting::Fault;
+
+/// Greatest factor on the rate of cold servers.
+const COLD_OVERAGE_MAX: f64 = 100.0;
+/// Most flows a second to a cold server beyond its rate.
+const COLD_SLACK_MAX: u32 = 10_000;
+/// Longest time that a setting may have, in milliseconds.
+const MILLIS_MAX: u64 = 600_000;
+
+/// Settings as given, not checked. `None` is a setting that was not given.
+#[derive(Clone, Debug, Default)]
+pub struct Raw {
+    /// Name of the balancer.
+    pub name: Option<String>,
+    /// Failure domain of the balancer.
+    pub domain: Option<String>,
+    /// Where callers' packets come in. Callers take resets at the same port.
+    pub entry: Option<String>,
+    /// Where peers' datagrams come in.
+    pub peer: Option<String>,
+    /// Where the admin pages are served.
+    pub admin: Option<String>,
+    /// Base URL of the platform.
+    pub platform: Option<String>,
+    /// Hosts at which peers may be, separated by commas; all hear peers at the same port.
+    pub seeds: Option<String>,
+    /// Log filter.
+    pub log: Option<String>,
+    /// Factor on the rate of cold servers.
+    pub cold_overage: Option<String>,
+    /// Flows a second to a cold server beyond its rate.
+    pub cold_slack: Option<String>,
+    /// Time until open flows into a failure domain that is out are cut.
+    pub out_after_ms: Option<String>,
+    /// Longest planned stop.
+    pub grace_ms: Option<String>,
+}
+
+/// Checked settings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Setting {
+    /// Where callers' packets come in.
+    pub entry: SocketAddr,
+    /// Base URL of the platform, without a slash at the end.
+    pub platform: String,
+    /// Log filter, in the syntax of `tracing_subscriber::EnvFilter`.
+    pub log: String,
+    /// Settings of the reducer.
+    pub forward: forward::setting::Setting,
+}
+
+impl Raw {
+    /// Takes what was not given from the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns every line that is neither empty, a comment, nor a setting. Unknown names are
+    /// ignored: a file may be of a later release.
+    pub fn with_file(mut self, text: &str) -> Result<Raw, Vec<Fault>> {
+        let mut lines = parse(text)?;
+        let mut fill = |field: &mut Option<String>, name: &str| {
+            let given = lines.remove(name).filter(|value| !value.is_empty());
+            *field = field.take().or(given);
+        };
+        fill(&mut self.name, "WASABI_NAME");
+        fill(&mut self.domain, "WASABI_DOMAIN");
+        fill(&mut self.entry, "WASABI_ENTRY");
+        fill(&mut self.peer, "WASABI_PEER");
+        fill(&mut self.admin, "WASABI_ADMIN");
+        fill(&mut self.platform, "WASABI_PLATFORM");
+        fill(&mut self.seeds, "WASABI_SEEDS");
+        fill(&mut self.log, "WASABI_LOG");
+        fill(&mut self.cold_overage, "WASABI_COLD_OVERAGE");
+        fill(&mut self.cold_slack, "WASABI_COLD_SLACK");
+        fill(&mut self.out_after_ms, "WASABI_OUT_AFTER_MS");
+        fill(&mut self.grace_ms, "WASABI_GRACE_MS");
+        Ok(self)
+    }
+}
+
+fn parse(text: &str) -> Result<BTreeMap<String, String>, Vec<Fault>> {
+    let mut values = BTreeMap::new();
+    let mut faults = Vec::new();
+    for (index, line) in text.lines().enumerate() {
+        let line = line.trim();
+        if line.is_empty() || line.starts_with('#') {
+            continue;
+        }
+        match line.split_once('=') {
+            Some((name, value)) => {
+                values.insert(name.trim().to_owned(), value.trim().to_owned());
+            }
+            None => faults.push(Fault {
+                code: Code::BadSetting,
+                flag: "settings",
+                text: format!("line {} is not NAME=value", index + 1),
+            }),
+        }
+    }
+    match faults.is_empty() {
+        true => Ok(values),
+        false => Err(faults),
+    }
+}
+
+impl Setting {
+    /// Checks all settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault, in the order of the flags.
+    pub fn new(raw: Raw) -> Result<Setting, Vec<Fault>> {
+        let mut check = Check::default();
+        let name = check.name("name", raw.name);
+        let domain = check.name("domain", raw.domain);
+        let entry = check.address("entry", raw.entry, None);
+        let peer = check.reachable("peer", raw.peer);
+        let admin = check.address("admin", raw.admin, Some("127.0.0.1:0"));
+        let platform = check.url("platform", raw.platform);
+        let seeds = check.hosts("seeds", raw.seeds, peer.port());
+        let log = check.filter("log", raw.log);
+        let overage = check.number(
+            "cold-overage",
+            raw.cold_overage,
+            1.0,
+            0.0..=COLD_OVERAGE_MAX,
+        );
+        let slack = check.number("cold-slack", raw.cold_slack, 0, 0..=COLD_SLACK_MAX);
+        let out_after = forward::setting::OUT_AFTER.as_millis();
+        let out_after = check.number("out-after-ms", raw.out_after_ms, out_after, 0..=MILLIS_MAX);
+        let grace = forward::setting::GRACE.as_millis();
+        let grace = check.number("grace-ms", raw.grace_ms, grace, 1..=MILLIS_MAX);
+        let peer = Peer {
+            datagram: peer,
+            stream: peer,
+        };
+        let cold = Bound {
+            overage_percent: (overage * 100.0) as u32,
+            slack,
+        };
+        let forward = forward::setting::Setting::new(name, domain, peer, admin)
+            .with_seeds(seeds)
+            .with_cold(cold)
+            .with_out_after(Span::millis(out_after))
+            .with_grace(Span::millis(grace));
+        let setting = Setting {
+            entry,
+            platform,
+            log,
+            forward,
+        };
+        check.end(setting)
+    }
+
+    /// Returns the settings that differ and cannot change while the process runs.
+    pub fn fixed_changes(&self, new: &Setting) -> Vec<&'static str> {
+        let (own, other) = (&self.forward, &new.forward);
+        let fixed = [
+            ("name", own.name != other.name),
+            ("domain", own.domain != other.domain),
+            ("entry", self.entry != new.entry),
+            ("peer", own.peer != other.peer),
+            ("admin", own.admin != other.admin),
+            ("platform", self.platform != new.platform),
+            ("log", self.log != new.log),
+        ];
+        let changed = fixed.iter().filter(|(_, differs)| *differs);
+        changed.map(|&(name, _)| name).collect()
+    }
+}
+
+/// Reads a host: an address with or without a port.
+pub(crate) fn host(text: &str) -> Option<IpAddr> {
+    let with_port = text.parse::<SocketAddr>().map(|address| address.ip());
+    with_port.or_else(|_| text.parse()).ok()
+}
--- /dev/null
+++ b/crates/shell/src/packets/source.rs
@@ -0,0 +1,137 @@
+//! Reads of the platform, as tasks: one a kind, of which a newer one replaces the older.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::prelude::*;
+use conf::object::Kind;
+use forward::event::Event;
+use plat::source::Announcement;
+use plat::source::Source;
+use plat::Error;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+use crate::metric::Metric;
+
+/// Attempts to make a balancer known.
+const ANNOUNCE_TRIES: u32 = 20;
+/// Pause between two attempts.
+const ANNOUNCE_PAUSE: Duration = Duration::from_millis(700);
+
+/// The tasks.
+pub struct Reads<S> {
+    source: S,
+    events: mpsc::Sender<Event>,
+    metric: Arc<Metric>,
+    running: BTreeMap<Kind, JoinHandle<()>>,
+}
+
+impl<S: Source> Reads<S> {
+    /// Makes tasks that tell what they read to `events`.
+    pub fn new(source: S, events: mpsc::Sender<Event>, metric: Arc<Metric>) -> Reads<S> {
+        Reads {
+            source,
+            events,
+            metric,
+            running: BTreeMap::new(),
+        }
+    }
+
+    /// Begins a read in place of the one of the same kind that is under way.
+    pub fn begin(&mut self, kind: Kind, since: u64, wait: Span) {
+        let (source, events) = (self.source.clone(), self.events.clone());
+        let metric = self.metric.clone();
+        let task = tokio::spawn(async move {
+            let event = read(&source, &metric, kind, since, wait).await;
+            // The loop has ended when nobody listens.
+            let _ = events.send(event).await;
+        });
+        if let Some(old) = self.running.insert(kind, task) {
+            old.abort();
+        }
+    }
+
+    /// Makes this balancer known, and reads who else is.
+    pub fn announce(&self, name: &str, peer: SocketAddr) {
+        let (source, events) = (self.source.clone(), self.events.clone());
+        let name = name.to_owned();
+        tokio::spawn(async move {
+            let own = Announcement { name, peer };
+            for attempt in 1..=ANNOUNCE_TRIES {
+                match source.announce(&own).await {
+                    Ok(()) => break,
+                    Err(error) => {
+                        tracing::warn!(event = "announce-failed", attempt, %error);
+                        tokio::time::sleep(ANNOUNCE_PAUSE).await;
+                    }
+                }
+            }
+            discover(&source, &events).await;
+        });
+    }
+
+    /// Reads which balancers are known.
+    pub fn discover(&self) {
+        let (source, events) = (self.source.clone(), self.events.clone());
+        tokio::spawn(async move { discover(&source, &events).await });
+    }
+
+    /// Takes back what made this balancer known. Nothing depends on it, so it is tried once.
+    pub fn withdraw(&self, name: &str) {
+        let (source, name) = (self.source.clone(), name.to_owned());
+        tokio::spawn(async move {
+            if let Err(error) = source.withdraw(&name).await {
+                tracing::warn!(event = "withdraw-failed", %error);
+            }
+        });
+    }
+}
+
+async fn read(source: &impl Source, metric: &Metric, kind: Kind, since: u64, wait: Span) -> Event {
+    let result = match since {
+        0 => source.list(kind).await,
+        _ => {
+            let wait = Duration::from_micros(wait.0);
+            source.watch(kind, since, wait).await
+        }
+    };
+    metric.platform(if since == 0 { "list" } else { "watch" }, result.is_ok());
+    match result {
+        Ok(list) => {
+            for unread in &list.unread {
+                tracing::warn!(
+                    event = "entry-unread",
+                    code = %Code::Unreadable,
+                    kind = kind.name(),
+                    name = unread.name,
+                    why = unread.why,
+                );
+            }
+            Event::Objects {
+                kind,
+                since,
+                upto: list.revision,
+                objects: list.objects,
+            }
+        }
+        Err(error) => Event::Failed {
+            kind,
+            is_history_gone: error == Error::Gone,
+            why: error.to_string(),
+        },
+    }
+}
+
+async fn discover(source: &impl Source, events: &mpsc::Sender<Event>) {
+    match source.balancers().await {
+        Ok(known) => {
+            let addresses = known.into_iter().map(|one| one.peer).collect();
+            // The loop has ended when nobody listens.
+            let _ = events.send(Event::Candidates(addresses)).await;
+        }
+        Err(error) => tracing::warn!(event = "discover-failed", %error),
+    }
+}
--- /dev/null
+++ b/crates/shell/src/packets/trace.rs
@@ -0,0 +1,208 @@
+//! Log lines of the reducer's decisions.
+
+use base::prelude::*;
+use forward::note::Note;
+
+/// The header that carries a request's id, in lower case.
+const REQUEST_ID: &[u8] = b"x-request-id:";
+/// Longest request id that is logged, in bytes.
+const REQUEST_ID_MAX: usize = 64;
+/// Lines of decisions on flows in a second, at most: twice the flows that a balancer opens a second at
+/// the size that is built towards.
+pub const FLOW_LINES_MAX: u64 = 200;
+
+/// Limits the lines on flows.
+#[derive(Debug)]
+pub struct Limit {
+    left: u64,
+    since: Time,
+    left_out: u64,
+}
+
+impl Limit {
+    /// Makes a limit that has let nothing through yet.
+    pub fn new(now: Time) -> Limit {
+        Limit {
+            left: FLOW_LINES_MAX,
+            since: now,
+            left_out: 0,
+        }
+    }
+
+    /// Returns whether one more line may be written.
+    fn admit(&mut self, now: Time) -> bool {
+        if now.since(self.since) >= Span::secs(1) {
+            self.since = now;
+            self.left = FLOW_LINES_MAX;
+            let left_out = std::mem::take(&mut self.left_out);
+            if left_out > 0 {
+                tracing::warn!(event = "lines-left-out", left_out);
+            }
+        }
+        match self.left.checked_sub(1) {
+            Some(left) => self.left = left,
+            None => self.left_out += 1,
+        }
+        self.left > 0
+    }
+}
+
+/// Finds the request's id in the first data of a flow.
+pub fn request_id(data: &[u8]) -> Option<&str> {
+    let lines = data.split(|&byte| byte == b'\n');
+    let value = lines
+        .take_while(|line| !matches!(line, [] | [b'\r']))
+        .find_map(|line| {
+            let (name, value) = line.split_at_checked(REQUEST_ID.len())?;
+            name.eq_ignore_ascii_case(REQUEST_ID).then_some(value)
+        })?;
+    let value = value.get(..REQUEST_ID_MAX).unwrap_or(value);
+    std::str::from_utf8(value).ok().map(str::trim)
+}
+
+/// Writes the line of a decision. `data` is that of the packet that led to it, if one did.
+pub fn write(now: Time, note: &Note, data: &[u8], limit: &mut Limit) {
+    if is_of_flow(note) && !limit.admit(now) {
+        return;
+    }
+    match note {
+        Note::Request {
+            flow,
+            server,
+            moves,
+            opened,
+            basis,
+            routing,
+        } => tracing::info!(
+            event = "request",
+            request = request_id(data).unwrap_or_default(),
+            caller = %flow.caller,
+            service = %flow.service,
+            server,
+            moves,
+            opened_ms = opened.as_millis(),
+            candidates = basis.candidates,
+            open = basis.open,
+            loads_age_ms = basis.age.as_millis(),
+            routing,
+        ),
+        Note::Refused {
+            flow,
+            code,
+            routing,
+            age,
+        } => tracing::info!(
+            event = "flow-refused",
+            caller = %flow.caller,
+            service = %flow.service,
+            code = %code,
+            routing,
+            servers_age_ms = age.as_millis(),
+        ),
+        Note::Moved {
+            flow,
+            from,
+            to,
+            waited,
+            basis,
+        } => tracing::info!(
+            event = "flow-moved",
+            caller = %flow.caller,
+            service = %flow.service,
+            from,
+            to,
+            waited_ms = waited.as_millis(),
+            candidates = basis.candidates,
+            open = basis.open,
+            loads_age_ms = basis.age.as_millis(),
+        ),
+        Note::Expired {
+            flow,
+            server,
+            moves,
+            was_open,
+            age,
+        } => tracing::info!(
+            event = "flow-expired",
+            caller = %flow.caller,
+            service = %flow.service,
+            server,
+            moves,
+            was_open,
+            age_ms = age.as_millis(),
+        ),
+        Note::Suspect {
+            server,
+            flow,
+            waited,
+        } => tracing::info!(
+            event = "server-suspected",
+            server,
+            caller = %flow.caller,
+            service = %flow.service,
+            waited_ms = waited.as_millis(),
+        ),
+        Note::Doubted { server, by } => {
+            tracing::info!(event = "server-suspected", server, by = %by);
+        }
+        Note::Answered { server } => tracing::info!(event = "server-answered", server),
+        Note::GivenUp { server, missing } => tracing::info!(
+            event = "server-given-up",
+            server,
+            missing_ms = missing.as_millis(),
+        ),
+        Note::Applied {
+            kind,
+            from,
+            upto,
+            changes,
+            faults,
+            by,
+        } => tracing::info!(
+            event = "objects-applied",
+            kind = kind.name(),
+            from,
+            upto,
+            changes,
+            faults,
+            by = by.map_or_else(|| "platform".to_owned(), |by| by.to_string()),
+        ),
+        Note::Stale { kind, have, got } => {
+            tracing::warn!(event = "listing-stale", kind = kind.name(), have, got);
+        }
+        Note::ReadLost { kind, why, age } => tracing::warn!(
+            event = "platform-lost",
+            kind = kind.name(),
+            why,
+            age_ms = age.as_millis(),
+        ),
+        Note::ReadBack { kind, failures } => {
+            tracing::info!(event = "platform-back", kind = kind.name(), failures);
+        }
+        Note::Peer {
+            name,
+            incarnation,
+            state,
+        } => tracing::info!(event = "peer", name, incarnation = %incarnation, state),
+        Note::Domain { domain, is_cut } => {
+            tracing::warn!(event = "domain", domain, is_cut);
+        }
+        Note::Resumed { pause } => {
+            tracing::warn!(event = "resumed", pause_ms = pause.as_millis());
+        }
+        Note::Ready {
+            is_ready,
+            routing,
+            servers,
+        } => tracing::info!(event = "ready", is_ready, routing, servers),
+        Note::Stopping { flows } => tracing::info!(event = "stopping", flows),
+        Note::Reloaded => tracing::info!(event = "reloaded"),
+    }
+}
+
+fn is_of_flow(note: &Note) -> bool {
+    matches!(
+        note,
+        Note::Request { .. } | Note::Refused { .. } | Note::Moved { .. } | Note::Expired { .. }
+    )
+}
--- a/crates/shell/src/setting.rs
+++ b/crates/shell/src/setting.rs
@@ -171,20 +171,25 @@
                 1..=CONNECTIONS_MAX,
             ),
         };
-        match check.faults.is_empty() {
-            true => Ok(setting),
-            false => Err(check.faults),
-        }
+        check.end(setting)
     }
 }
 
 /// Collects faults; each check returns a stand-in value where it finds one.
 #[derive(Default)]
-struct Check {
+pub(crate) struct Check {
     faults: Vec<Fault>,
 }
 
 impl Check {
+    /// Returns the settings when no check found a fault.
+    pub(crate) fn end<T>(self, setting: T) -> Result<T, Vec<Fault>> {
+        match self.faults.is_empty() {
+            true => Ok(setting),
+            false => Err(self.faults),
+        }
+    }
+
     fn fault(&mut self, flag: &'static str, text: impl Into<String>) {
         self.faults.push(Fault {
             code: Code::BadSetting,
@@ -193,7 +198,7 @@
         });
     }
 
-    fn name(&mut self, flag: &'static str, value: Option<String>) -> String {
+    pub(crate) fn name(&mut self, flag: &'static str, value: Option<String>) -> String {
         let value = value.unwrap_or_default();
         let valid = |c: char| matches!(c, 'a'..='z' | '0'..='9' | '.' | '-');
         if value.is_empty() {
@@ -206,7 +211,7 @@
         value
     }
 
-    fn address(
+    pub(crate) fn address(
         &mut self,
         flag: &'static str,
         value: Option<String>,
@@ -223,7 +228,7 @@
         })
     }
 
-    fn reachable(&mut self, flag: &'static str, value: Option<String>) -> SocketAddr {
+    pub(crate) fn reachable(&mut self, flag: &'static str, value: Option<String>) -> SocketAddr {
         let address = self.address(flag, value, None);
         if address.ip().is_unspecified() {
             self.fault(flag, "must be an address that peers can reach");
@@ -240,7 +245,29 @@
             .collect()
     }
 
-    fn url(&mut self, flag: &'static str, value: Option<String>) -> String {
+    /// Reads hosts, each with or without a port, as addresses at `port`.
+    pub(crate) fn hosts(
+        &mut self,
+        flag: &'static str,
+        value: Option<String>,
+        port: u16,
+    ) -> Vec<SocketAddr> {
+        let text = value.unwrap_or_default();
+        let mut hosts = Vec::new();
+        for part in text
+            .split(',')
+            .map(str::trim)
+            .filter(|part| !part.is_empty())
+        {
+            match crate::packets::setting::host(part) {
+                Some(host) => hosts.push(SocketAddr::new(host, port)),
+                None => self.fault(flag, format!("`{part}` is no IP or IP:port")),
+            }
+        }
+        hosts
+    }
+
+    pub(crate) fn url(&mut self, flag: &'static str, value: Option<String>) -> String {
         let Some(text) = value else {
             self.fault(flag, "is missing");
             return String::new();
@@ -278,7 +305,7 @@
         })
     }
 
-    fn filter(&mut self, flag: &'static str, value: Option<String>) -> String {
+    pub(crate) fn filter(&mut self, flag: &'static str, value: Option<String>) -> String {
         let text = value.unwrap_or_else(|| "info".to_owned());
         if text
             .parse::<tracing_subscriber::filter::EnvFilter>()
@@ -289,7 +316,7 @@
         text
     }
 
-    fn number<T>(
+    pub(crate) fn number<T>(
         &mut self,
         flag: &'static str,
         value: Option<String>,
--- a/crates/wasabictl/src/args.rs
+++ b/crates/wasabictl/src/args.rs
@@ -60,7 +60,7 @@
         selector: Option<Selector>,
         #[bpaf(external)]
         common: Common,
-        /// service, server, domain or report [default: the first three]
+        /// service, server, domain, report or routing [default: the first three]
         #[bpaf(positional("KIND"))]
         kind: Option<KindName>,
         /// Name of the object
@@ -99,7 +99,7 @@
     Delete {
         #[bpaf(external)]
         common: Common,
-        /// service, server, domain or report
+        /// service, server, domain, report or routing
         #[bpaf(positional("KIND"))]
         kind: KindName,
         /// Name of the object
@@ -215,7 +215,7 @@
             .find(|kind| kind.name().to_ascii_lowercase() == singular)
             .map(KindName)
             .ok_or_else(|| {
-                let text = format!("{text} is not service, server, domain or report");
+                let text = format!("{text} is not service, server, domain, report or routing");
                 Failure::new(Code::UnknownKind, text)
             })
     }
--- a/crates/wasabictl/src/command/get.rs
+++ b/crates/wasabictl/src/command/get.rs
@@ -105,6 +105,10 @@
             ["REPORT", "OF", "VERSION"],
             &cells(rows, |row| [name(row), row.members.clone(), version(row)]),
         ),
+        Kind::Routing => table(
+            ["ROUTING", "ROUTES", "VERSION"],
+            &cells(rows, |row| [name(row), row.members.clone(), version(row)]),
+        ),
     }
 }
 
--- a/crates/wasabictl/src/command/status.rs
+++ b/crates/wasabictl/src/command/status.rs
@@ -38,7 +38,9 @@
 
     /// Loads the reports alone; `newest` is 0.
     pub(super) async fn load_reports(client: &Client) -> Result<Status> {
-        let List { revision, objects } = client.list(Some(Kind::Report)).await?;
+        let List {
+            revision, objects, ..
+        } = client.list(Some(Kind::Report)).await?;
         let hosts = client.hosts().await?;
         Ok(Status::new(&Snapshot { revision, objects }, &hosts))
     }
--- a/crates/wasabictl/src/snapshot.rs
+++ b/crates/wasabictl/src/snapshot.rs
@@ -26,7 +26,9 @@
 
 impl Snapshot {
     pub(crate) async fn load(client: &Client) -> Result<Snapshot> {
-        let List { revision, objects } = client.list(None).await?;
+        let List {
+            revision, objects, ..
+        } = client.list(None).await?;
         Ok(Snapshot { revision, objects })
     }
 
--- a/crates/wasabictl/src/view.rs
+++ b/crates/wasabictl/src/view.rs
@@ -75,6 +75,7 @@
                 Kind::Server => self.server(object, &faults),
                 Kind::Domain => self.domain(object),
                 Kind::Report => self.report(object),
+                Kind::Routing => routing(object),
             },
         };
         let (service, members) = match kind {
@@ -199,3 +200,12 @@
     let words = labels.iter().map(|(name, value)| format!("{name}={value}"));
     words.collect::<Vec<_>>().join(" ")
 }
+
+/// Returns the state of a routing that passed its checks, and how many routes it has.
+fn routing(object: &raw::Object) -> (String, String, String) {
+    let routes = match Object::try_from(object).map(|object| object.body) {
+        Ok(Body::Routing(routing)) => routing.routes.len(),
+        _ => 0,
+    };
+    (State::In.name().into(), String::new(), routes.to_string())
+}
--- a/crates/wasabid/src/flag.rs
+++ b/crates/wasabid/src/flag.rs
@@ -1,10 +1,14 @@
 //! Flags and the environment variables of the same names.
 
+use std::path::PathBuf;
+
 use bpaf::construct;
 use bpaf::long;
 use bpaf::OptionParser;
 use bpaf::Parser;
+use shell::packets::setting as packets;
 use shell::setting::Raw;
+use strum::EnumString;
 
 /// Makes a flag that takes a text and may also come from the environment.
 fn flag(
@@ -30,8 +34,146 @@
         .map(move |given| given.or_else(|| std::env::var(env).ok()))
 }
 
-/// Returns the parser of all flags. Values are checked together by `shell::setting::Setting`.
-pub(crate) fn parser() -> OptionParser<Raw> {
+/// What the process does.
+pub(crate) enum Command {
+    /// Forwards packets, on a platform that speaks this dialect.
+    Forward(Dialect, Option<PathBuf>, Box<packets::Raw>),
+    /// Relays requests.
+    Relay(Box<Raw>),
+}
+
+/// How a platform's store and packets are spoken to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, EnumString)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum Dialect {
+    /// The store of the project's own object API.
+    Objects,
+    /// The store of the users' platform.
+    #[default]
+    Platform,
+}
+
+/// Returns the parser of the command line.
+pub(crate) fn parser() -> OptionParser<Command> {
+    let forward = forward()
+        .command("forward")
+        .help("forward packets of flows to backend servers, which answer callers directly");
+    let relay = relay().map(|raw| Command::Relay(Box::new(raw)));
+    construct!([forward, relay])
+        .to_options()
+        .version(env!("CARGO_PKG_VERSION"))
+        .descr("The balancer of wasabiarch. Every flag may be given in the environment instead.")
+        .footer("Exit codes: 0 after a graceful stop (SIGTERM), 1 on failure or a second SIGTERM, 2 on bad settings.")
+}
+
+/// Returns the parser of the flags of packet forwarding. Values are checked together by
+/// `shell::packets::setting::Setting`.
+fn forward() -> OptionParser<Command> {
+    let dialect = long("dialect")
+        .env("WASABI_DIALECT")
+        .help("how the platform's store is spoken to: objects or platform [default: platform]")
+        .argument::<Dialect>("NAME")
+        .fallback(Dialect::default());
+    let settings = long("settings")
+        .env("WASABI_SETTINGS")
+        .help("file with a line NAME=value for each setting, read again on SIGHUP and when it changes")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    let name = flag(
+        "name",
+        "WASABI_NAME",
+        "NAME",
+        "name of this balancer, [a-z0-9.-]; required",
+    );
+    let domain = flag(
+        "domain",
+        "WASABI_DOMAIN",
+        "NAME",
+        "failure domain that this balancer is in; required",
+    );
+    let entry = flag(
+        "entry",
+        "WASABI_ENTRY",
+        "IP:PORT",
+        "UDP address for callers' packets; callers take resets at the same port; required",
+    );
+    let peer = flag(
+        "peer",
+        "WASABI_PEER",
+        "IP:PORT",
+        "UDP address for peers, as peers reach it, the same port on all; required",
+    );
+    let admin = flag(
+        "admin",
+        "WASABI_ADMIN",
+        "IP:PORT",
+        "TCP address of the pages /dump /health /ready /metrics [default: 127.0.0.1:0]",
+    );
+    let platform = flag(
+        "platform",
+        "WASABI_PLATFORM",
+        "URL",
+        "base URL of the platform; required",
+    );
+    let seeds = flag(
+        "seeds",
+        "WASABI_SEEDS",
+        "IP,..",
+        "hosts of balancers to start from; ports are ignored [default: none]",
+    );
+    let log = flag(
+        "log",
+        "WASABI_LOG",
+        "FILTER",
+        "log level or filter, such as `debug` or `info,shell=warn` [default: info]",
+    );
+    let cold_overage = flag(
+        "cold-overage",
+        "WASABI_COLD_OVERAGE",
+        "FACTOR",
+        "factor on the rate that a pool names for its cold servers [default: 1]",
+    );
+    let cold_slack = flag(
+        "cold-slack",
+        "WASABI_COLD_SLACK",
+        "COUNT",
+        "flows a second that a cold server takes beyond that [default: 0]",
+    );
+    let out_after_ms = flag(
+        "out-after-ms",
+        "WASABI_OUT_AFTER_MS",
+        "MS",
+        "time until open flows into a failure domain that is out are cut [default: 3000]",
+    );
+    let grace_ms = flag(
+        "grace-ms",
+        "WASABI_GRACE_MS",
+        "MS",
+        "longest planned stop [default: 5000]",
+    );
+    let raw = construct!(packets::Raw {
+        name,
+        domain,
+        entry,
+        peer,
+        admin,
+        platform,
+        seeds,
+        log,
+        cold_overage,
+        cold_slack,
+        out_after_ms,
+        grace_ms,
+    });
+    construct!(dialect, settings, raw)
+        .map(|(dialect, settings, raw)| Command::Forward(dialect, settings, Box::new(raw)))
+        .to_options()
+        .descr("Forwards packets of flows to backend servers, which answer callers directly.")
+}
+
+/// Returns the parser of the flags of the relay. Values are checked together by
+/// `shell::setting::Setting`.
+fn relay() -> impl Parser<Raw> {
     let name = flag(
         "name",
         "WASABI_NAME",
@@ -142,8 +284,4 @@
         silence_ms,
         connections,
     })
-    .to_options()
-    .version(env!("CARGO_PKG_VERSION"))
-    .descr("The balancer of wasabiarch. Every flag may be given in the environment instead.")
-    .footer("Exit codes: 0 after a graceful stop (SIGTERM), 1 on failure or a second SIGTERM, 2 on bad settings.")
 }
--- /dev/null
+++ b/crates/wasabid/src/forward.rs
@@ -0,0 +1,84 @@
+//! The balancer that forwards packets.
+
+use std::path::Path;
+use std::path::PathBuf;
+
+use eyre::WrapErr;
+use plat::source::Source;
+use shell::log::Sink;
+use shell::packets::run::Shell;
+use shell::packets::setting::Raw;
+use shell::packets::setting::Setting;
+use shell::run::Outcome;
+use shell::setting::Fault;
+
+use crate::flag::Dialect;
+use crate::Faults;
+
+/// Runs until a planned stop is complete.
+pub(crate) fn start(dialect: Dialect, file: Option<PathBuf>, raw: Raw) -> eyre::Result<Outcome> {
+    let file = file.or_else(platform::setting::path);
+    let setting = read(&raw, file.as_deref()).map_err(Faults)?;
+    let sink = shell::log::start_buffered(&setting.forward.name, &setting.log)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .wrap_err("cannot start the runtime")?;
+    let platform = setting.platform.clone();
+    let process = Process {
+        raw,
+        file,
+        setting,
+        sink,
+    };
+    match dialect {
+        Dialect::Platform => {
+            let store = platform::store::Store::new(platform)?;
+            runtime.block_on(process.serve(store))
+        }
+        Dialect::Objects => runtime.block_on(process.serve(plat::Client::new(platform)?)),
+    }
+}
+
+/// What a process starts from.
+struct Process {
+    raw: Raw,
+    file: Option<PathBuf>,
+    setting: Setting,
+    sink: Sink,
+}
+
+impl Process {
+    async fn serve(self, source: impl Source) -> eyre::Result<Outcome> {
+        let Process {
+            raw,
+            file,
+            setting,
+            sink,
+        } = self;
+        let path = file.clone();
+        let reload = move || read(&raw, path.as_deref()).map_err(|faults| text(&faults));
+        let shell = Shell::bind(setting, platform::head::Packets, source, sink).await?;
+        shell.with_reload(file, Box::new(reload)).run().await
+    }
+}
+
+fn read(raw: &Raw, file: Option<&Path>) -> Result<Setting, Vec<Fault>> {
+    let raw = raw.clone();
+    let Some(file) = file else {
+        return Setting::new(raw);
+    };
+    let text = std::fs::read_to_string(file).map_err(|error| {
+        vec![Fault {
+            code: base::prelude::Code::BadSetting,
+            flag: "settings",
+            text: format!("{}: {error}", file.display()),
+        }]
+    })?;
+    Setting::new(raw.with_file(&text)?)
+}
+
+fn text(faults: &[Fault]) -> String {
+    let texts: Vec<String> = faults.iter().map(Fault::to_string).collect();
+    texts.join("; ")
+}
--- a/crates/wasabid/src/main.rs
+++ b/crates/wasabid/src/main.rs
@@ -1,7 +1,9 @@
 //! The balancer process.
 
 mod flag;
+mod forward;
 
+use std::fmt;
 use std::process::ExitCode;
 
 use base::prelude::*;
@@ -9,8 +11,11 @@
 use node::Node;
 use shell::run::Outcome;
 use shell::run::Shell;
+use shell::setting::Fault;
 use shell::setting::Setting;
 
+use crate::flag::Command;
+
 /// Exit code of a failure, and of a stop that was not graceful.
 const FAILURE: u8 = 1;
 /// Exit code of bad settings.
@@ -19,29 +24,50 @@
 const HELP_WIDTH: usize = 100;
 
 fn main() -> ExitCode {
-    let raw = match flag::parser().run_inner(bpaf::Args::current_args()) {
-        Ok(raw) => raw,
+    let command = match flag::parser().run_inner(bpaf::Args::current_args()) {
+        Ok(command) => command,
         Err(failure) => return usage(failure),
     };
-    let setting = match Setting::new(raw) {
-        Ok(setting) => setting,
-        Err(faults) => {
-            for fault in faults {
-                eprintln!("{fault}");
-            }
-            return ExitCode::from(BAD_SETTING);
-        }
+    let outcome = match command {
+        Command::Forward(dialect, file, raw) => forward::start(dialect, file, *raw),
+        Command::Relay(raw) => relay(*raw),
     };
-    match start(&setting) {
+    match outcome {
         Ok(Outcome::Stopped) => ExitCode::SUCCESS,
         Ok(Outcome::Quit) => ExitCode::from(FAILURE),
-        Err(report) => {
-            eprintln!("{report:#}");
-            ExitCode::from(FAILURE)
-        }
+        Err(report) => match report.downcast::<Faults>() {
+            Ok(Faults(faults)) => {
+                for fault in faults {
+                    eprintln!("{fault}");
+                }
+                ExitCode::from(BAD_SETTING)
+            }
+            Err(report) => {
+                eprintln!("{report:#}");
+                ExitCode::from(FAILURE)
+            }
+        },
     }
 }
 
+/// Everything that is wrong with the settings.
+#[derive(Debug)]
+struct Faults(Vec<Fault>);
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let texts: Vec<String> = self.0.iter().map(Fault::to_string).collect();
+        f.write_str(&texts.join("; "))
+    }
+}
+
+impl std::error::Error for Faults {}
+
+fn relay(raw: shell::setting::Raw) -> eyre::Result<Outcome> {
+    let setting = Setting::new(raw).map_err(Faults)?;
+    start(&setting)
+}
+
 fn usage(failure: bpaf::ParseFailure) -> ExitCode {
     match failure {
         bpaf::ParseFailure::Stderr(_) => {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -84,6 +84,43 @@
         /// Of the record.
         key: RecordKey,
     },
+    /// Open packet flows of the sender.
+    Flows(Flows),
+    /// Objects of one kind each, for balancers that forward packets.
+    Objects(Vec<Objects>),
+}
+
+/// How many packet flows the sender holds open at each backend server. Replaces what it told before.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Flows {
+    /// Backend servers with open flows.
+    pub open: Vec<Held>,
+    /// Marks of backend servers that leave opening packets unanswered.
+    pub silent: Vec<u32>,
+}
+
+/// The open flows of one backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// The mark that route tokens name the backend server by.
+    pub mark: u32,
+    /// Flows that the sender opened there and that have not ended.
+    pub open: u16,
+}
+
+/// Changed objects of one kind, or only how far the sender's knowledge of the kind goes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Objects {
+    /// Name of the kind.
+    pub kind: String,
+    /// The revision that the objects start from.
+    pub since: u64,
+    /// The revision in force once they are applied.
+    pub upto: u64,
+    /// Age of that knowledge: time since the platform confirmed it to whoever read it.
+    pub age: Span,
+    /// Postcard of `conf::raw::Object` each.
+    pub objects: Vec<Bytes>,
 }
 
 /// News that ride on membership messages.
