Ask one watch again every second, and hold the others against the store's revision

Two faults beside it: a read that was needed at once waited for the end of a long watch, and news of a newer object were forgotten with the next older word of another peer.

Now the routing's watch lasts 1.2 s at most and each answer's revision shows the other kinds what they miss.

Logs never came out: a copy of standard output is refused writes there. A pause while datagrams were being read panicked on the buffers that were drained.

--- a/crates/conf/src/store.rs
+++ b/crates/conf/src/store.rs
@@ -138,6 +138,11 @@
         change
     }
 
+    /// Returns the revision from which on every change is known: `delta` has an answer from there on.
+    pub fn horizon(&self) -> u64 {
+        self.horizon
+    }
+
     /// Returns what changed after `since`, in order of version, or `None` when too many marks were
     /// forgotten to tell.
     ///
--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -3,6 +3,10 @@
 //! One balancer of each failure domain, the reader, keeps a watch for each kind and tells the others
 //! what changed. The others read for themselves when they start, when a change did not reach them
 //! whole, and for as long as they hear no reader.
+//!
+//! A watch may hear nothing for long although changes are made, without any sign of it. So the watch
+//! of one kind, the pulse, is asked again every second or so. Each answer tells the revision of the
+//! whole store; a feed that does not get there by itself in time is read again.
 
 use base::prelude::*;
 use conf::object::Kind;
@@ -13,8 +17,12 @@
 /// The kinds that are read, in the order in which they are put in force.
 pub const KINDS: [Kind; 3] = [Kind::Routing, Kind::Server, Kind::Domain];
 
-/// How long the platform may hold a watch. Keep-alives, not the end of a watch, show that its
-/// connection is lost.
+/// The kind whose watch is the pulse: what operators change has to be in force soonest.
+const PULSE: Kind = Kind::Routing;
+/// How long the platform may hold the watch of the pulse: with the time to notice that no answer
+/// comes, and to read again, within the 3 s in which a change has to be in force.
+pub const PULSE_WAIT: Span = Span::millis(1_200);
+/// How long the platform may hold another watch.
 pub const WATCH_WAIT: Span = Span::secs(10);
 /// Pause between an answer with changes and the next watch, so that changes in a row share one call.
 pub const GATHER: Span = Span::millis(150);
@@ -24,16 +32,23 @@
 pub const BACKOFF_MAX: Span = Span::millis(800);
 /// Age of a reader's last word after which a balancer reads for itself: three words that it missed.
 pub const SILENCE: Span = Span::millis(1_250);
-/// Time for which news of a newer revision may wait for the change itself.
-pub const PATIENCE: Span = Span::millis(400);
+/// Time in which a feed has to come to the revision that another feed's answer showed.
+pub const PATIENCE: Span = Span::millis(300);
+/// The same for failure domains, which operators take out within 5 s, so that the changes of other
+/// kinds meanwhile share one read.
+pub const DOMAIN_PATIENCE: Span = Span::millis(1_500);
+/// Time in which an object that a peer knows has to come: its reader's answer and its way here.
+pub const UNSEEN: Span = Span::millis(900);
 
 /// Where a feed stands with the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Reading {
     /// No read is under way; the next may start at this time.
     Idle(Time),
-    /// A read is under way since this time.
-    Running(Time),
+    /// A read is under way, which the platform may hold until there is a change.
+    Watching,
+    /// A read is under way that is answered at once.
+    Asking,
 }
 
 /// The objects of one kind.
@@ -51,6 +66,8 @@
     confirmed: Option<Time>,
     /// When a reader was last heard.
     heard: Option<Time>,
+    /// The highest revision of the store that is known to be, and since when this feed is behind it.
+    behind: Option<(u64, Time)>,
 }
 
 /// A read that is due.
@@ -75,6 +92,7 @@
             failures: 0,
             confirmed: None,
             heard: None,
+            behind: None,
         }
     }
 
@@ -105,26 +123,43 @@
 
     /// Returns the read that is due, and takes it as begun.
     pub fn read(&mut self, now: Time, is_reader: bool) -> Option<Read> {
-        let Reading::Idle(due) = self.reading else {
-            return None;
+        let patience = match self.kind {
+            Kind::Domain => DOMAIN_PATIENCE,
+            _ => PATIENCE,
         };
+        if self
+            .behind
+            .is_some_and(|(_, since)| now.since(since) >= patience)
+        {
+            self.needs_read = true;
+        }
         let hears_reader = self.heard.is_some_and(|at| now.since(at) < SILENCE);
-        let is_wanted = self.needs_read || is_reader || !hears_reader;
-        if !is_wanted || now < due {
+        let is_due = match self.reading {
+            Reading::Idle(due) => now >= due && (self.needs_read || is_reader || !hears_reader),
+            // What is needed now does not wait for the end of a watch.
+            Reading::Watching => self.needs_read,
+            Reading::Asking => false,
+        };
+        if !is_due {
             return None;
         }
-        self.reading = Reading::Running(now);
-        let since = match self.needs_listing {
-            true => 0,
-            false => self.store.revision(),
+        let is_asking = self.needs_read || self.needs_listing;
+        self.reading = match is_asking {
+            true => Reading::Asking,
+            false => Reading::Watching,
         };
-        let wait = match self.needs_read {
-            true => Span::ZERO,
-            false => WATCH_WAIT,
+        let wait = match (is_asking, self.kind == PULSE) {
+            (true, _) => Span::ZERO,
+            (false, true) => PULSE_WAIT,
+            (false, false) => WATCH_WAIT,
         };
         Some(Read {
             kind: self.kind,
-            since,
+            since: if self.needs_listing {
+                0
+            } else {
+                self.store.revision()
+            },
             wait,
         })
     }
@@ -148,6 +183,7 @@
         self.needs_listing &= !is_listing;
         self.needs_read = false;
         self.confirmed = Some(now);
+        self.settle();
         self.reading = Reading::Idle(match change.is_empty() {
             true => now,
             false => now + GATHER,
@@ -183,29 +219,52 @@
             true => self.needs_read = true,
             false => self.confirmed = self.confirmed.max(Some(now - age)),
         }
+        self.settle();
         change
     }
 
+    /// Takes in that the store has come to a revision.
+    fn expect(&mut self, now: Time, revision: u64) {
+        if revision <= self.store.revision() {
+            return;
+        }
+        let since = self.behind.map_or(now, |(_, since)| since);
+        self.behind = Some((revision, since));
+    }
+
+    /// Notes that the feed is not behind any more, if so.
+    fn settle(&mut self) {
+        let revision = self.store.revision();
+        self.behind = self.behind.filter(|&(wanted, _)| wanted > revision);
+    }
+
     /// Asks for a read even while another one is under way or a reader is heard.
     pub fn refresh(&mut self, now: Time) {
         self.needs_read = true;
         self.reading = Reading::Idle(now);
     }
+
+    /// Returns the revision of the last change of the kind and the one up to which nothing came after
+    /// it: whoever knows that change knows all of the kind.
+    pub fn span(&self) -> (u64, u64) {
+        // A delta from 0 would be a listing.
+        (self.store.newest().max(1), self.store.revision())
+    }
 }
 
 /// The feeds of all kinds.
 #[derive(Clone, Debug)]
 pub struct Feeds {
     feeds: [Feed; 3],
-    /// Since when a peer is known to know of something newer.
-    behind: Option<Time>,
+    /// The highest version of an object that a peer knows and that is not known here, and since when.
+    unseen: Option<(u64, Time)>,
 }
 
 impl Default for Feeds {
     fn default() -> Feeds {
         Feeds {
             feeds: KINDS.map(Feed::new),
-            behind: None,
+            unseen: None,
         }
     }
 }
@@ -247,21 +306,35 @@
         newest.max().unwrap_or_default()
     }
 
-    /// Takes in that a peer knows an object of this version.
-    ///
-    /// A watch whose connection is lost shows no sign of it. Where the change does not come by itself,
+    /// Returns the revision up to which every object is known here: that of an object that is, or the
+    /// one that all feeds have come to.
+    fn known(&self) -> u64 {
+        let revisions = self.feeds.iter().map(|feed| feed.store.revision());
+        self.newest().max(revisions.min().unwrap_or_default())
+    }
+
+    /// Takes in that the store has come to a revision, by its answer.
+    pub fn expect(&mut self, now: Time, revision: u64) {
+        for feed in self.feeds.iter_mut().filter(|feed| feed.kind != PULSE) {
+            feed.expect(now, revision);
+        }
+    }
+
+    /// Takes in that a peer knows an object of this version. Where it does not come by itself in time,
     /// all kinds are read again.
-    pub fn heard_newest(&mut self, now: Time, version: u64) {
-        if version <= self.newest() {
-            self.behind = None;
-            return;
+    pub fn hear_newest(&mut self, now: Time, version: u64) {
+        let known = self.known();
+        if version > known {
+            let since = self.unseen.map_or(now, |(_, since)| since);
+            self.unseen = Some((version, since));
         }
-        let since = *self.behind.get_or_insert(now);
-        if now.since(since) >= PATIENCE {
-            self.behind = None;
-            for feed in &mut self.feeds {
-                feed.refresh(now);
-            }
+        self.unseen = self.unseen.filter(|&(wanted, _)| wanted > known);
+        if self
+            .unseen
+            .is_some_and(|(_, since)| now.since(since) >= UNSEEN)
+        {
+            self.unseen = None;
+            self.refresh(now);
         }
     }
 
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -63,7 +63,7 @@
     let from = frame.from;
     let body = match codec::decode(frame.body) {
         Ok((message, rider)) => {
-            state.feeds.heard_newest(state.now, rider.revision);
+            state.feeds.hear_newest(state.now, rider.revision);
             let event = member::Event::Message {
                 from,
                 peer,
@@ -122,7 +122,8 @@
     tick::apply(state, kind, change, Some(from), out);
 }
 
-/// Tells the balancers of the own failure domain what changed since a revision.
+/// Tells the balancers of the own failure domain what changed since a revision, the last one at which
+/// the kind had changed before.
 pub(crate) fn tell(state: &mut Forwarder, kind: Kind, since: u64, out: &mut Vec<Effect>) {
     let now = state.now;
     let Some(feed) = state.feeds.get(kind) else {
@@ -130,16 +131,17 @@
     };
     let upto = feed.store().revision();
     let age = feed.age(now);
-    let mut parts = vec![part(kind, since, upto, age)];
-    let changed = match since {
-        0 => None,
-        _ => feed.store().delta(since),
+    let since = since.max(feed.store().horizon());
+    let changed = match since < upto {
+        true => feed.store().delta(since),
+        false => None,
     };
     let Some(changed) = changed else {
-        // Those that lack something find the gap and read it from the platform.
+        // After a listing, those that lack something find the gap and read it from the platform.
         let mark = part(kind, upto, upto, age);
         return broadcast(state, vec![mark], out);
     };
+    let mut parts = vec![part(kind, since, upto, age)];
     let mut room = OBJECTS_BYTES;
     for object in &changed {
         let Ok(bytes) = postcard::to_allocvec(object) else {
@@ -183,8 +185,8 @@
         .iter()
         .filter(|feed| feed.is_known() && !feed.is_failing())
         .map(|feed| {
-            let upto = feed.store().revision();
-            part(feed.kind(), upto, upto, feed.age(now))
+            let (since, upto) = feed.span();
+            part(feed.kind(), since, upto, feed.age(now))
         })
         .collect();
     if !marks.is_empty() {
--- a/crates/forward/src/tick.rs
+++ b/crates/forward/src/tick.rs
@@ -184,17 +184,19 @@
         return;
     };
     let (have, was_failing) = (feed.store().revision(), feed.is_failing());
+    let (last_change, _) = feed.span();
     let Some(change) = feed.answer(now, since, upto, objects) else {
         let got = upto;
         out.push(Effect::Note(Note::Stale { kind, have, got }));
         return;
     };
+    state.feeds.expect(now, upto);
     if was_failing {
         out.push(Effect::Note(Note::ReadBack { kind, failures: 1 }));
     }
     apply(state, kind, change, None, out);
     if is_reader(state) && change.objects > 0 {
-        peer::tell(state, kind, change.from, out);
+        peer::tell(state, kind, last_change, out);
     }
 }
 
--- a/crates/shell/src/log.rs
+++ b/crates/shell/src/log.rs
@@ -5,7 +5,6 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
-use std::fs::File;
 use std::io;
 use std::io::Write;
 use std::os::fd::AsFd;
@@ -57,9 +56,9 @@
 ///
 /// # Errors
 ///
-/// Fails as `start` does, or when standard output is closed.
+/// Fails as `start` does.
 pub fn start_buffered(name: &str, filter: &str) -> eyre::Result<Sink> {
-    let sink = Sink::new()?;
+    let sink = Sink::default();
     let writer = sink.clone();
     start_with(name, filter, move || writer.clone())?;
     Ok(sink)
@@ -80,9 +79,8 @@
 }
 
 /// Lines on their way to standard output. Clones share them.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Sink {
-    output: Arc<File>,
     waiting: Arc<Mutex<Waiting>>,
 }
 
@@ -93,14 +91,6 @@
 }
 
 impl Sink {
-    fn new() -> io::Result<Sink> {
-        let output = io::stdout().as_fd().try_clone_to_owned()?;
-        Ok(Sink {
-            output: Arc::new(output.into()),
-            waiting: Arc::default(),
-        })
-    }
-
     /// Writes what standard output takes without blocking.
     ///
     /// # Errors
@@ -110,16 +100,11 @@
         let mut waiting = self.lock();
         let mut written = 0;
         let mut result = Ok(());
-        while written < waiting.bytes.len() && self.takes_bytes()? {
-            let end = waiting.bytes.len().min(written + WRITE_MAX);
-            match (&*self.output).write(&waiting.bytes[written..end]) {
-                Ok(0) => break,
-                Ok(count) => written += count,
-                Err(error) => {
-                    result = Err(error);
-                    break;
-                }
-            }
+        while result.is_ok() && written < waiting.bytes.len() && takes_bytes()? {
+            let end = lines_end(&waiting.bytes[written..]);
+            let lines = &waiting.bytes[written..written + end];
+            result = io::stdout().lock().write_all(lines);
+            written += end;
         }
         waiting.bytes.drain(..written);
         result
@@ -130,17 +115,28 @@
         std::mem::take(&mut self.lock().left_out)
     }
 
-    fn takes_bytes(&self) -> io::Result<bool> {
-        let mut polled = [PollFd::new(self.output.as_fd(), PollFlags::POLLOUT)];
-        let count = nix::poll::poll(&mut polled, PollTimeout::ZERO)?;
-        Ok(count > 0)
-    }
-
     fn lock(&self) -> MutexGuard<'_, Waiting> {
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+/// Returns whether standard output takes bytes without blocking.
+fn takes_bytes() -> io::Result<bool> {
+    let output = io::stdout();
+    let mut polled = [PollFd::new(output.as_fd(), PollFlags::POLLOUT)];
+    let count = nix::poll::poll(&mut polled, PollTimeout::ZERO)?;
+    Ok(count > 0)
+}
+
+/// Returns the end of the last line that one write takes, or of the first line when none ends there.
+fn lines_end(bytes: &[u8]) -> usize {
+    let is_end = |&byte: &u8| byte == b'\n';
+    let first = &bytes[..bytes.len().min(WRITE_MAX)];
+    let last = first.iter().rposition(is_end);
+    let end = last.or_else(|| bytes.iter().position(is_end));
+    end.map_or(bytes.len(), |end| end + 1)
+}
+
 impl Write for Sink {
     /// Takes a line whole or leaves it out.
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
--- a/crates/shell/src/packets/run.rs
+++ b/crates/shell/src/packets/run.rs
@@ -194,12 +194,16 @@
     async fn run(mut self) -> eyre::Result<Outcome> {
         let mut last = self.shell.clock.now();
         loop {
-            let wake = self.wake().await;
+            let mut wake = self.wake().await;
             let now = self.shell.clock.now();
             let gap = now.since(last);
             last = now;
             if gap > PAUSE {
                 self.resume(now, gap)?;
+                // What was read just now is as old as the pause, and its buffers were used again.
+                if matches!(wake, Wake::Entry(_)) {
+                    wake = Wake::Tick;
+                }
             }
             self.turn(now, wake)?;
             self.run_effects(now, &[]);
--- a/crates/shell/src/packets/source.rs
+++ b/crates/shell/src/packets/source.rs
@@ -99,6 +99,14 @@
         }
     };
     metric.platform(if since == 0 { "list" } else { "watch" }, result.is_ok());
+    tracing::debug!(
+        event = "platform-read",
+        kind = kind.name(),
+        since,
+        wait_ms = wait.as_millis(),
+        upto = result.as_ref().map_or(0, |list| list.revision),
+        is_ok = result.is_ok(),
+    );
     match result {
         Ok(list) => {
             for unread in &list.unread {
