Let packets wait in the socket until it is known where they go

Cause: a balancer that starts drops what comes before its first listings, 70 to 130 ms, and callers repeat after 200 ms at the earliest. After all hosts lost power that cost the last try of many.

--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -93,9 +93,14 @@
         }
     }
 
+    /// Returns whether it is known where packets go.
+    pub fn can_serve(&self) -> bool {
+        self.table.has_routing() && self.feeds.are_known()
+    }
+
     /// Returns whether packets can be served and the balancer is not stopping.
     pub fn is_ready(&self) -> bool {
-        self.table.has_routing() && self.feeds.are_known() && self.stopping.is_none()
+        self.can_serve() && self.stopping.is_none()
     }
 
     /// Returns whether a planned stop has begun.
--- a/crates/shell/src/packets/run.rs
+++ b/crates/shell/src/packets/run.rs
@@ -167,6 +167,9 @@
     limit: trace::Limit,
     out: Vec<Effect>,
     file_time: Option<SystemTime>,
+    /// Whether packets are read: until the reducer knows where they go, they wait in the socket.
+    is_serving: bool,
+    start: Time,
     outcome: Option<Outcome>,
 }
 
@@ -186,6 +189,8 @@
             limit: trace::Limit::new(now),
             out: Vec::new(),
             file_time: modified(&shell),
+            is_serving: false,
+            start: now,
             outcome: None,
             shell,
         })
@@ -207,6 +212,9 @@
             }
             self.turn(now, wake)?;
             self.run_effects(now, &[]);
+            if !self.is_serving && self.reducer.can_serve() {
+                self.begin_serving(now)?;
+            }
             if let Some(outcome) = self.outcome {
                 self.shell.admin.stop();
                 return Ok(outcome);
@@ -214,9 +222,18 @@
         }
     }
 
+    /// Begins to read packets. Those that have waited for longer than their callers are dropped.
+    fn begin_serving(&mut self, now: Time) -> eyre::Result<()> {
+        self.is_serving = true;
+        if now.since(self.start) > PAUSE {
+            self.drop_waiting()?;
+        }
+        Ok(())
+    }
+
     async fn wake(&mut self) -> Wake {
         tokio::select! {
-            result = self.shell.entry.recv() => Wake::Entry(result),
+            result = self.shell.entry.recv(), if self.is_serving => Wake::Entry(result),
             result = self.shell.peers.recv() => Wake::Peers(result),
             Some(event) = self.events.recv() => Wake::Event(event),
             Some(ask) = self.shell.asks.recv() => Wake::Ask(ask),
@@ -334,11 +351,16 @@
         }
     }
 
-    fn resume(&mut self, now: Time, pause: Span) -> eyre::Result<()> {
+    fn drop_waiting(&mut self) -> eyre::Result<()> {
         let dropped = self.shell.entry.drain()?;
-        self.shell.metric.pause();
         self.shell.metric.drops(Code::Stale, dropped as u64);
         tracing::warn!(event = "drained", dropped, code = %Code::Stale);
+        Ok(())
+    }
+
+    fn resume(&mut self, now: Time, pause: Span) -> eyre::Result<()> {
+        self.shell.metric.pause();
+        self.drop_waiting()?;
         let event = Event::Resumed(pause);
         self.reducer.step(now, event, &mut self.out);
         self.run_effects(now, &[]);
