Ask peers for what the platform does not tell

Cause: a balancer that started while the store was down had no routing until the store was back.

A balancer whose reads fail asks a peer of its domain every 300 ms; the peer answers with what is newer, or with a listing. Frames longer than a datagram go in parts.

--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -14,9 +14,11 @@
 use wire::frame::Flows;
 use wire::frame::Frame;
 use wire::frame::Objects;
+use wire::frame::Want;
 
 use crate::count;
 use crate::effect::Effect;
+use crate::feed;
 use crate::load;
 use crate::note::Note;
 use crate::setting::Setting;
@@ -29,8 +31,9 @@
 const PROBE_PERIOD: Span = Span::millis(400);
 /// How long a probe is waited for.
 const PROBE_TIMEOUT: Span = Span::millis(150);
-/// Most bytes of objects in one frame, so that it fits a datagram.
-const OBJECTS_BYTES: usize = 1_000;
+/// Most bytes of objects that are told to each balancer of the domain. Those that need more read it
+/// from the platform: one call each costs less than what a large change would take on their links.
+const OBJECTS_BYTES: usize = 4_000;
 
 /// Makes the membership of a process that starts at `now`.
 pub(crate) fn group(setting: &Setting, now: Time) -> Group {
@@ -80,7 +83,8 @@
                 objects_of(state, from, objects, out);
             }
         }
-        // The rest is for balancers that relay requests.
+        Body::Ask(wants) => answer(state, peer, &wants, out),
+        // The rest is for balancers that relay requests, or was put together by the driver.
         _ => (),
     }
 }
@@ -113,8 +117,7 @@
     let Some(feed) = state.feeds.get_mut(kind) else {
         return;
     };
-    // A listing comes from the platform alone, and part of a change is a gap.
-    if told.since == 0 || objects.len() < told.objects.len() {
+    if objects.len() < told.objects.len() {
         feed.refresh(now);
         return;
     }
@@ -141,29 +144,83 @@
         let mark = part(kind, upto, upto, age);
         return broadcast(state, vec![mark], out);
     };
-    let mut parts = vec![part(kind, since, upto, age)];
-    let mut room = OBJECTS_BYTES;
-    for object in &changed {
-        let Ok(bytes) = postcard::to_allocvec(object) else {
+    let objects = encode(&changed);
+    let mut told = part(kind, since, upto, age);
+    if objects.iter().map(Bytes::len).sum::<usize>() > OBJECTS_BYTES {
+        told.since = upto;
+    } else {
+        told.objects = objects;
+    }
+    broadcast(state, vec![told], out);
+}
+
+fn encode(objects: &[raw::Object]) -> Vec<Bytes> {
+    let encode = |object: &raw::Object| {
+        postcard::to_allocvec(object).expect("an object has no type that postcard cannot write")
+    };
+    objects.iter().map(|object| encode(object).into()).collect()
+}
+
+/// Asks a peer for what it knows beyond this balancer, which cannot read the platform.
+pub(crate) fn ask(state: &mut Forwarder, out: &mut Vec<Effect>) {
+    let wants: Vec<Want> = state
+        .feeds
+        .iter()
+        .filter(|feed| feed.is_failing())
+        .map(|feed| Want {
+            kind: feed.kind().name().to_owned(),
+            since: feed.store().revision(),
+        })
+        .collect();
+    let peers = peers(state);
+    if wants.is_empty() || peers.is_empty() {
+        return;
+    }
+    state.asked = state.asked.wrapping_add(1);
+    let to = peers[state.asked % peers.len()];
+    send(state, to, Body::Ask(wants), out);
+}
+
+/// Returns where other live balancers hear peers: those of the own failure domain if there are any.
+fn peers(state: &Forwarder) -> Vec<SocketAddr> {
+    let near: Vec<SocketAddr> = neighbours(state).map(|one| one.peer.datagram).collect();
+    if !near.is_empty() {
+        return near;
+    }
+    let me = state.incarnation();
+    let others = state.group.members().filter(|one| one.incarnation != me);
+    let live = others.filter(|one| one.state.is_live());
+    live.map(|one| one.peer.datagram).collect()
+}
+
+/// Tells a peer that cannot read the platform what it lacks.
+fn answer(state: &mut Forwarder, peer: SocketAddr, wants: &[Want], out: &mut Vec<Effect>) {
+    let now = state.now;
+    for want in wants.iter().take(feed::KINDS.len()) {
+        let feed = state
+            .feeds
+            .iter()
+            .find(|feed| feed.kind().name() == want.kind);
+        let Some(feed) = feed.filter(|feed| feed.is_known()) else {
             continue;
         };
-        let last = parts.len() - 1;
-        if bytes.len() > room && !parts[last].objects.is_empty() {
-            let next = part(kind, object.version - 1, upto, age);
-            parts[last].upto = next.since;
-            parts.push(next);
-            room = OBJECTS_BYTES;
-        }
-        if bytes.len() > OBJECTS_BYTES {
-            let mark = part(kind, upto, upto, age);
-            return broadcast(state, vec![mark], out);
+        let upto = feed.store().revision();
+        if upto <= want.since {
+            continue;
         }
-        room = room.saturating_sub(bytes.len());
-        let last = parts.len() - 1;
-        parts[last].objects.push(bytes.into());
-    }
-    for part in parts {
-        broadcast(state, vec![part], out);
+        let changed = match want.since {
+            0 => None,
+            since => feed.store().delta(since),
+        };
+        let (since, objects) = match changed {
+            Some(changed) => (want.since, changed),
+            None => (0, feed.store().listing()),
+        };
+        let told = Objects {
+            objects: encode(&objects),
+            ..part(feed.kind(), since, upto, feed.age(now))
+        };
+        send(state, peer, Body::Objects(vec![told]), out);
     }
 }
 
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -35,6 +35,8 @@
     pub(crate) was_ready: bool,
     /// When the planned stop began.
     pub(crate) stopping: Option<Time>,
+    /// How often peers were asked for what the platform did not tell.
+    pub(crate) asked: usize,
     /// When the last packet of a caller came.
     pub(crate) last_packet: Time,
     pub(crate) timers: tick::Timers,
@@ -54,6 +56,7 @@
             counts: Counts::default(),
             was_ready: false,
             stopping: None,
+            asked: 0,
             last_packet: now,
             timers: tick::Timers::new(now),
         }
--- a/crates/forward/src/tick.rs
+++ b/crates/forward/src/tick.rs
@@ -8,6 +8,7 @@
 
 use crate::count;
 use crate::effect::Effect;
+use crate::feed::Feed;
 use crate::flow::Phase;
 use crate::load;
 use crate::note::Note;
@@ -18,6 +19,8 @@
 pub const PERIOD: Span = Span::millis(25);
 /// Time between two steps of the membership, several to a probe.
 const MEMBER_PERIOD: Span = Span::millis(75);
+/// Time between two questions to peers while the platform cannot be read.
+const ASK_PERIOD: Span = Span::millis(300);
 /// Time between two words of a reader on how far its knowledge goes.
 const MARK_PERIOD: Span = Span::millis(400);
 /// Time without a peer after which addresses of balancers are read again.
@@ -39,6 +42,7 @@
     mark: Time,
     report: Time,
     alone: Time,
+    ask: Time,
 }
 
 impl Timers {
@@ -48,6 +52,7 @@
             member: now,
             mark: now,
             report: now,
+            ask: now,
             alone: now + ALONE_PERIOD,
         }
     }
@@ -151,6 +156,10 @@
             });
         }
     }
+    if now >= state.timers.ask && state.feeds.iter().any(Feed::is_failing) {
+        state.timers.ask = now + ASK_PERIOD;
+        peer::ask(state, out);
+    }
     if is_reader && now >= state.timers.mark {
         state.timers.mark = now + MARK_PERIOD;
         peer::tell_marks(state, out);
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -95,7 +95,9 @@
         | Body::Ack { .. }
         | Body::PingReq { .. }
         | Body::Flows(_)
-        | Body::Objects(_) => (),
+        | Body::Objects(_)
+        | Body::Ask(_)
+        | Body::Part(_) => (),
     }
 }
 
--- a/crates/node/src/text.rs
+++ b/crates/node/src/text.rs
@@ -78,6 +78,8 @@
             }
             Body::Flows(flows) => write!(f, "flows at {} servers", flows.open.len()),
             Body::Objects(told) => write!(f, "objects of {} kinds", told.len()),
+            Body::Ask(wants) => write!(f, "ask for {} kinds", wants.len()),
+            Body::Part(part) => write!(f, "part {} of {}", part.index, part.count),
         }
     }
 }
--- a/crates/shell/src/packets.rs
+++ b/crates/shell/src/packets.rs
@@ -4,11 +4,13 @@
 //!
 //! - `setting`: settings from flags, the environment and a file, checked as a whole.
 //! - `batch`: a UDP socket that is read and written many datagrams at a time.
+//! - `part`: frames longer than a datagram, in parts.
 //! - `source`: reads of the platform, as tasks.
 //! - `trace`: log lines of the reducer's decisions.
 //! - `run`: the process.
 
 pub mod batch;
+pub mod part;
 pub mod run;
 pub mod setting;
 pub mod source;
--- /dev/null
+++ b/crates/shell/src/packets/part.rs
@@ -0,0 +1,118 @@
+//! Frames longer than a datagram, in parts.
+//!
+//! A frame whose parts do not all come is lost, like any datagram; whoever needs it asks again.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use bytes::Bytes;
+use wire::frame::Body;
+use wire::frame::Frame;
+use wire::frame::Part;
+use wire::seal;
+
+/// Bytes of the longest datagram to a peer.
+pub const DATAGRAM_BYTES: usize = 1_200;
+/// Bytes of a part, so that it fits a datagram with its head.
+const PART_BYTES: usize = 1_150;
+/// Most parts of a frame: a routing of 3,000 routes and more.
+pub const PARTS_MAX: usize = 512;
+/// Senders whose parts are kept at a time.
+pub const SENDERS_MAX: usize = 16;
+
+/// Returns the datagrams that carry a frame; none when it is longer than a peer would take.
+pub fn split(frame: &Frame, number: u32) -> Vec<Vec<u8>> {
+    let whole = seal::encode(frame);
+    if whole.len() <= DATAGRAM_BYTES {
+        return vec![whole];
+    }
+    let count = whole.len().div_ceil(PART_BYTES);
+    if count > PARTS_MAX {
+        return Vec::new();
+    }
+    let part = |(index, bytes): (usize, &[u8])| {
+        seal::encode(&Frame {
+            from: frame.from,
+            body: Body::Part(Part {
+                frame: number,
+                index: index as u16,
+                count: count as u16,
+                bytes: Bytes::copy_from_slice(bytes),
+            }),
+        })
+    };
+    whole.chunks(PART_BYTES).enumerate().map(part).collect()
+}
+
+/// Parts that wait for the rest of their frames, the newest frame of each sender.
+#[derive(Clone, Debug, Default)]
+pub struct Parts {
+    waiting: BTreeMap<SocketAddr, Waiting>,
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    frame: u32,
+    parts: Vec<Option<Bytes>>,
+    missing: usize,
+}
+
+impl Parts {
+    /// Takes a datagram of a peer in, and returns the frame that is whole with it, if one is.
+    ///
+    /// # Errors
+    ///
+    /// `Malformed` when the bytes are no frame or a part contradicts itself or its frame.
+    pub fn take(&mut self, from: SocketAddr, datagram: &[u8]) -> Result<Option<Frame>, Code> {
+        let frame = seal::decode(datagram)?;
+        match frame.body {
+            Body::Part(part) => self.join(from, part),
+            _ => Ok(Some(frame)),
+        }
+    }
+
+    fn join(&mut self, from: SocketAddr, part: Part) -> Result<Option<Frame>, Code> {
+        let (index, count) = (usize::from(part.index), usize::from(part.count));
+        if index >= count || count > PARTS_MAX || part.bytes.len() > PART_BYTES {
+            return Err(Code::Malformed);
+        }
+        self.begin(from, part.frame, count);
+        let Some(waiting) = self.waiting.get_mut(&from) else {
+            return Ok(None);
+        };
+        if waiting.parts.len() != count {
+            return Err(Code::Malformed);
+        }
+        if waiting.parts[index].replace(part.bytes).is_none() {
+            waiting.missing -= 1;
+        }
+        if waiting.missing > 0 {
+            return Ok(None);
+        }
+        let whole = self.waiting.remove(&from);
+        let parts = whole.into_iter().flat_map(|whole| whole.parts);
+        let bytes: Vec<u8> = parts.flatten().flatten().collect();
+        seal::decode(&bytes).map(Some)
+    }
+
+    /// Makes room for a frame, in place of an earlier one of the sender.
+    fn begin(&mut self, from: SocketAddr, frame: u32, count: usize) {
+        if self
+            .waiting
+            .get(&from)
+            .is_some_and(|old| old.frame == frame)
+        {
+            return;
+        }
+        if self.waiting.len() >= SENDERS_MAX && !self.waiting.contains_key(&from) {
+            self.waiting.pop_first();
+        }
+        let waiting = Waiting {
+            frame,
+            parts: vec![None; count],
+            missing: count,
+        };
+        self.waiting.insert(from, waiting);
+    }
+}
--- a/crates/shell/src/packets/run.rs
+++ b/crates/shell/src/packets/run.rs
@@ -22,7 +22,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Interval;
 use tokio::time::MissedTickBehavior;
-use wire::seal;
+use wire::frame::Frame;
 
 use crate::admin::Admin;
 use crate::admin::Ask;
@@ -32,6 +32,8 @@
 use crate::metric::Metric;
 use crate::metric::Way;
 use crate::packets::batch::Batch;
+use crate::packets::part;
+use crate::packets::part::Parts;
 use crate::packets::setting::Setting;
 use crate::packets::source::Reads;
 use crate::packets::trace;
@@ -50,8 +52,6 @@
 const EVENTS: usize = 256;
 /// Admin questions that wait for the loop.
 const ASKS: usize = 16;
-/// Bytes of the longest datagram to a peer.
-const FRAME_BYTES: usize = 1_400;
 
 /// Reads the settings again.
 pub type Reload = Box<dyn Fn() -> Result<Setting, String>>;
@@ -166,6 +166,9 @@
     tick: u32,
     limit: trace::Limit,
     out: Vec<Effect>,
+    parts: Parts,
+    /// Numbers the frames to peers.
+    frame: u32,
     file_time: Option<SystemTime>,
     /// Whether packets are read: until the reducer knows where they go, they wait in the socket.
     is_serving: bool,
@@ -188,6 +191,8 @@
             tick: 0,
             limit: trace::Limit::new(now),
             out: Vec::new(),
+            parts: Parts::default(),
+            frame: 0,
             file_time: modified(&shell),
             is_serving: false,
             start: now,
@@ -315,11 +320,12 @@
             let peer = datagram.from;
             let length = datagram.data.len();
             self.shell.metric.received(Way::Datagram, length);
-            match seal::decode(datagram.data) {
-                Ok(frame) => {
+            match self.parts.take(peer, datagram.data) {
+                Ok(Some(frame)) => {
                     let event = Event::Frame { peer, frame };
                     self.reducer.step(now, event, &mut self.out);
                 }
+                Ok(None) => (),
                 Err(code) => self.shell.metric.drops(code, 1),
             }
         }
@@ -419,15 +425,7 @@
     fn effect(&mut self, now: Time, effect: Effect, data: &[u8]) {
         match effect {
             Effect::Read { kind, since, wait } => self.reads.begin(kind, since, wait),
-            Effect::Send { to, frame } => {
-                let bytes = seal::encode(&frame);
-                debug_assert!(bytes.len() <= FRAME_BYTES, "a frame fits a datagram");
-                self.shell.metric.sent(Way::Datagram, bytes.len());
-                if let Err(error) = self.shell.peers.send(to, &bytes) {
-                    // A lost frame is told again.
-                    tracing::debug!(event = "send-failed", %to, %error);
-                }
-            }
+            Effect::Send { to, frame } => self.send(to, &frame),
             Effect::Announce => {
                 let forward = &self.shell.setting.forward;
                 self.reads.announce(&forward.name, forward.peer.datagram);
@@ -442,6 +440,19 @@
     }
 }
 
+impl<C, S> Loop<C, S> {
+    fn send(&mut self, to: SocketAddr, frame: &Frame) {
+        self.frame = self.frame.wrapping_add(1);
+        for bytes in part::split(frame, self.frame) {
+            self.shell.metric.sent(Way::Datagram, bytes.len());
+            if let Err(error) = self.shell.peers.send(to, &bytes) {
+                // A lost frame is told again.
+                tracing::debug!(event = "send-failed", %to, %error);
+            }
+        }
+    }
+}
+
 fn modified<C, S>(shell: &Shell<C, S>) -> Option<SystemTime> {
     let meta = std::fs::metadata(shell.file.as_ref()?);
     meta.and_then(|meta| meta.modified()).ok()
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -88,6 +88,10 @@
     Flows(Flows),
     /// Objects of one kind each, for balancers that forward packets.
     Objects(Vec<Objects>),
+    /// Asks for what the receiver knows beyond the sender.
+    Ask(Vec<Want>),
+    /// A part of a frame that is longer than a datagram.
+    Part(Part),
 }
 
 /// How many packet flows the sender holds open at each backend server. Replaces what it told before.
@@ -108,6 +112,28 @@
     pub open: u16,
 }
 
+/// What a balancer that cannot read the platform wants to know of a kind.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Want {
+    /// Name of the kind.
+    pub kind: String,
+    /// The revision that it knows; 0 when it knows nothing.
+    pub since: u64,
+}
+
+/// A part of an encoded frame.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// Tells the frames of one sender apart.
+    pub frame: u32,
+    /// Place of the part, from 0.
+    pub index: u16,
+    /// How many parts there are.
+    pub count: u16,
+    /// The bytes.
+    pub bytes: Bytes,
+}
+
 /// Changed objects of one kind, or only how far the sender's knowledge of the kind goes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Objects {
