Check suspected servers instead of trying them with callers' flows

Cause: while servers were dark, each balancer found out by itself and tried each of them again with a flow every second or so; each such flow was 200 ms late. A lost packet had the same effect as a lost server. And when a domain came back, the first server that answered got all flows.

A suspected server is checked at once by one balancer of the domain, which tells the others what it found; whatever the answer says of its health, an answer under the server's name clears it. Servers whose checks fail are given nothing, flows that wait for them are reset, and a balancer that reaches no server at all is not ready. Long frames wait their turn: 30 parts at once overran a peer's socket.

--- a/crates/conf/src/object.rs
+++ b/crates/conf/src/object.rs
@@ -24,6 +24,8 @@
 pub const REPORT_MAX: usize = 512 * 1024;
 /// Longest spec of a routing, in bytes. It holds every route, and the platform's values end there.
 pub const ROUTING_MAX: usize = 1024 * 1024;
+/// What backend servers are asked for in a check where the pool names nothing.
+pub const CHECK_PATH: &str = "/health";
 /// Time that a flow may be idle where the routing names none.
 pub const IDLE_MS: u32 = 15_000;
 /// Deadline of requests to a service that names none.
@@ -182,6 +184,8 @@
     pub cold_per_minute: u32,
     /// How long a server is cold after its start.
     pub cold: Span,
+    /// What its servers are asked for to see whether they answer.
+    pub check_path: String,
 }
 
 /// A failure domain.
@@ -467,6 +471,7 @@
             name: pool.name,
             cold_per_minute: pool.cold_per_minute,
             cold: Span::millis(pool.cold_ms.into()),
+            check_path: pool.check_path.unwrap_or_else(|| CHECK_PATH.into()),
         };
         Routing {
             routes: spec.routes.into_iter().map(route).collect(),
@@ -491,6 +496,7 @@
             name: pool.name.clone(),
             cold_per_minute: pool.cold_per_minute,
             cold_ms: millis(pool.cold),
+            check_path: Some(pool.check_path.clone()),
         };
         spec::Routing {
             routes: routing.routes.iter().map(route).collect(),
--- a/crates/conf/src/spec.rs
+++ b/crates/conf/src/spec.rs
@@ -96,4 +96,6 @@
     pub(crate) name: String,
     pub(crate) cold_per_minute: u32,
     pub(crate) cold_ms: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) check_path: Option<String>,
 }
--- a/crates/forward/src/count.rs
+++ b/crates/forward/src/count.rs
@@ -33,6 +33,8 @@
     Reads,
     /// Reads that failed.
     ReadFailures,
+    /// Checks of suspected servers.
+    Checks,
     /// Frames to peers.
     Sent,
     /// Frames from peers.
--- a/crates/forward/src/effect.rs
+++ b/crates/forward/src/effect.rs
@@ -1,8 +1,10 @@
 //! What the reducer wants done.
 
 use std::net::SocketAddr;
+use std::net::SocketAddrV4;
 
 use base::prelude::*;
+use conf::key;
 use conf::object::Kind;
 use wire::frame::Frame;
 
@@ -33,6 +35,17 @@
     Withdraw,
     /// Read the addresses of balancers from the platform.
     Discover,
+    /// Check whether a backend server answers.
+    Check {
+        /// Its key.
+        server: key::Server,
+        /// Its name, which it answers with.
+        name: String,
+        /// Where it takes checks.
+        address: SocketAddrV4,
+        /// What is asked for.
+        path: String,
+    },
     /// A backend server answered an opening packet.
     Opened {
         /// Time from the last opening packet.
--- a/crates/forward/src/event.rs
+++ b/crates/forward/src/event.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
+use conf::key;
 use conf::object::Kind;
 use conf::raw;
 use wire::frame::Frame;
@@ -43,6 +44,15 @@
         /// The frame.
         frame: Frame,
     },
+    /// A check ended.
+    Checked {
+        /// The backend server's key at the start of the check.
+        server: key::Server,
+        /// The backend server's name.
+        name: String,
+        /// Whether it answered under its name.
+        is_well: bool,
+    },
     /// The process was paused or its host suspended for this long.
     Resumed(Span),
     /// The settings changed.
--- a/crates/forward/src/flow.rs
+++ b/crates/forward/src/flow.rs
@@ -161,6 +161,13 @@
         self.map.remove(&id)
     }
 
+    /// Removes all flows.
+    pub fn clear(&mut self) -> Vec<Flow> {
+        let ids = std::mem::take(&mut self.due).into_iter().map(|(_, id)| id);
+        // In the order in which they were added: that of the map is not the same in every run.
+        ids.filter_map(|id| self.map.remove(&id)).collect()
+    }
+
     /// Removes the next flow that is over by `now`.
     pub fn expire(&mut self, now: Time) -> Option<(Id, Flow)> {
         // Each entry is looked at once a call: one that is put back is due later than `now`.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -21,7 +21,8 @@
 //! - `load`: open flows at other balancers, as they tell them.
 //! - `feed`: what is read from the platform and from peers, and how old it is.
 //! - `peer`: membership and frames.
-//! - `state`: the reducer that joins them; `open`, `pass` and `tick` are its parts, `dump` its text.
+//! - `state`: the reducer that joins them; `open`, `pass`, `check` and `tick` are its parts, `dump` its
+//!   text.
 //! - `event`, `effect`, `note`: its inputs, outputs and log lines.
 //! - `count`: counters.
 //! - `setting`: settings and constants.
@@ -46,6 +47,7 @@
 pub mod tick;
 pub mod token;
 
+mod check;
 mod dump;
 mod open;
 mod pass;
--- a/crates/forward/src/load.rs
+++ b/crates/forward/src/load.rs
@@ -15,8 +15,8 @@
 pub const REPORT_AGE: Span = Span::millis(1_500);
 /// Most backend servers in a report, so that it fits a datagram.
 pub const REPORT_MAX: usize = 120;
-/// Most marks of silent backend servers in a report.
-pub const SILENT_MAX: usize = 40;
+/// Most marks of silent backend servers, and of those found well, in a report.
+pub const NEWS_MAX: usize = 30;
 /// Shortest pause between two reports of one balancer.
 pub const PAUSE_MIN: Span = Span::millis(25);
 /// Pause added for each peer that is told: a report has about 80 bytes, and reports may take half of
@@ -99,12 +99,11 @@
             mark: row.mark.0,
             open: u16::try_from(row.open).unwrap_or(u16::MAX),
         });
-    let silent = rows()
-        .filter(|(_, row)| row.health.is_suspect() && !row.health.is_due(now))
-        .take(SILENT_MAX)
-        .map(|(_, row)| row.mark.0);
+    let silent = rows().filter(|(_, row)| row.health.is_silence_news(now));
+    let well = rows().filter(|(_, row)| row.health.is_clearance_news(now));
     Flows {
         open: open.collect(),
-        silent: silent.collect(),
+        silent: silent.take(NEWS_MAX).map(|(_, row)| row.mark.0).collect(),
+        well: well.take(NEWS_MAX).map(|(_, row)| row.mark.0).collect(),
     }
 }
--- a/crates/forward/src/note.rs
+++ b/crates/forward/src/note.rs
@@ -63,6 +63,13 @@
         /// Time since its first opening packet.
         age: Span,
     },
+    /// A packet of an open flow was answered with a reset, since its server is lost.
+    GaveUp {
+        /// The flow.
+        flow: Id,
+        /// The server.
+        server: String,
+    },
     /// A backend server left an opening packet unanswered, and is suspected from now on.
     Suspect {
         /// The server.
@@ -83,6 +90,13 @@
     Answered {
         /// The server.
         server: String,
+        /// The peer whose check found it well; `None` for this balancer.
+        by: Option<Incarnation>,
+    },
+    /// Checks of a suspected backend server fail as well: it is lost.
+    Lost {
+        /// The server.
+        server: String,
     },
     /// A backend server whose entry went missing is given up.
     GivenUp {
@@ -177,9 +191,11 @@
             Note::Refused { flow, code, .. } => write!(f, "{flow}: refused, {code}"),
             Note::Moved { flow, from, to, .. } => write!(f, "{flow}: {from} is silent, now {to}"),
             Note::Expired { flow, server, .. } => write!(f, "{flow}: quiet at {server}"),
+            Note::GaveUp { flow, server } => write!(f, "{flow}: reset, {server} is lost"),
             Note::Suspect { server, flow, .. } => write!(f, "{server} is suspected by {flow}"),
             Note::Doubted { server, by } => write!(f, "{server} is suspected by {by}"),
-            Note::Answered { server } => write!(f, "{server} answers again"),
+            Note::Answered { server, .. } => write!(f, "{server} answers again"),
+            Note::Lost { server } => write!(f, "{server} is lost"),
             Note::GivenUp { server, .. } => write!(f, "{server} is given up"),
             Note::Applied { kind, upto, .. } => write!(f, "{kind} in force at r{upto}"),
             Note::Stale { kind, have, got } => {
--- a/crates/forward/src/open.rs
+++ b/crates/forward/src/open.rs
@@ -91,10 +91,15 @@
             waited: now.since(flow.sent),
         }));
     }
-    let pool = row.pool;
+    let (pool, is_confirmed) = (row.pool, row.health.is_confirmed());
     let pick = pool.map(|pool| choose(state, id, pool, Some(flow.server)));
     let Some(Pick::Server(server, basis)) = pick else {
-        return again(state, id, flow.server);
+        if !is_confirmed {
+            return again(state, id, flow.server);
+        }
+        state.flows.remove(id);
+        state.table.server_mut(flow.server).open -= 1;
+        return refuse(state, id, Code::NoServer, out);
     };
     out.push(Effect::Note(Note::Moved {
         flow: id,
@@ -139,8 +144,7 @@
 fn send(state: &mut Forwarder, id: Id, server: key::Server) -> Verdict {
     let now = state.now;
     let is_cold = state.table.is_cold(server, now);
-    let row = state.table.server_mut(server);
-    row.health.try_out(now);
+    let row = state.table.server(server);
     let (pool, target, mark) = (row.pool, row.target(), row.mark);
     if let (true, Some(pool)) = (is_cold, pool) {
         let pause = state.setting.cold.pause(&state.table.pool(pool).object);
--- a/crates/forward/src/pass.rs
+++ b/crates/forward/src/pass.rs
@@ -1,6 +1,7 @@
 //! Packets of open flows.
 
 use base::prelude::*;
+use conf::key;
 
 use crate::count::Kind;
 use crate::effect::Effect;
@@ -25,11 +26,14 @@
         state.counts.add(Kind::Out);
         return Verdict::Drop(Code::FlowOut);
     }
-    state.counts.add(Kind::Passed);
     let id = Id {
         caller: head.caller,
         service: head.service,
     };
+    if row.health.is_lost() && !head.flags.rst {
+        return give_up(state, id, server, out);
+    }
+    state.counts.add(Kind::Passed);
     let Some(flow) = state.flows.get_mut(id) else {
         return Verdict::Forward {
             target,
@@ -49,7 +53,7 @@
         let row = state.table.server_mut(server);
         if row.health.answer(now) {
             let server = row.name.clone();
-            out.push(Effect::Note(Note::Answered { server }));
+            out.push(Effect::Note(Note::Answered { server, by: None }));
         }
         out.push(Effect::Opened { took });
     }
@@ -76,3 +80,15 @@
         token: None,
     }
 }
+
+/// Tells the caller of a flow whose server is lost, so that it need not wait for its deadline.
+fn give_up(state: &mut Forwarder, id: Id, server: key::Server, out: &mut Vec<Effect>) -> Verdict {
+    if let Some(flow) = state.flows.remove(id) {
+        state.table.server_mut(flow.server).open -= 1;
+    }
+    out.push(Effect::Note(Note::GaveUp {
+        flow: id,
+        server: state.table.server(server).name.clone(),
+    }));
+    Verdict::Reset(Code::ServerGone)
+}
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -92,17 +92,25 @@
 fn flows_of(state: &mut Forwarder, from: Incarnation, flows: &Flows, out: &mut Vec<Effect>) {
     let now = state.now;
     state.loads.hear(now, from, &flows.open, &state.table);
-    for &mark in flows.silent.iter().take(load::SILENT_MAX) {
+    for &mark in flows.silent.iter().take(load::NEWS_MAX) {
         let Some(server) = state.table.find(Mark(mark)) else {
             continue;
         };
         let row = state.table.server_mut(server);
-        // The peer's evidence is at least one wait for a copy old.
-        if row.health.doubt(now, now - load::PAUSE_MIN) {
-            out.push(Effect::Note(Note::Doubted {
-                server: row.name.clone(),
-                by: from,
-            }));
+        if row.health.doubt(now) {
+            let server = row.name.clone();
+            out.push(Effect::Note(Note::Doubted { server, by: from }));
+        }
+    }
+    for &mark in flows.well.iter().take(load::NEWS_MAX) {
+        let Some(server) = state.table.find(Mark(mark)) else {
+            continue;
+        };
+        let row = state.table.server_mut(server);
+        if row.health.trust(now) {
+            let server = row.name.clone();
+            let by = Some(from);
+            out.push(Effect::Note(Note::Answered { server, by }));
         }
     }
 }
--- a/crates/forward/src/pick.rs
+++ b/crates/forward/src/pick.rs
@@ -38,21 +38,25 @@
 pub enum Pick {
     /// This server.
     Server(key::Server, Basis),
-    /// None now, but one that is cold or suspected may be free soon.
+    /// None now, but one that is cold may be free soon.
     Later,
     /// None.
     Never,
 }
 
+/// The least one is chosen: a server that is suspected comes last, then the cost, then the hash.
+type Rank = (bool, u64, u64, key::Server);
+
 impl Choice<'_> {
     /// Chooses a server of the pool. `may_warm` tells whether this balancer opens flows at a cold
     /// server.
     pub fn pick(&self, pool: key::Pool, may_warm: impl Fn(key::Server) -> bool) -> Pick {
-        let mut best: Option<(u64, u64, key::Server)> = None;
+        let mut best: Option<Rank> = None;
         let mut candidates = 0u16;
         let mut is_held = false;
         for &server in &self.table.pool(pool).servers {
-            if !self.is_open(server) {
+            let row = self.table.server(server);
+            if !self.is_open(server) || row.health.is_confirmed() {
                 continue;
             }
             if !self.is_free(server, &may_warm) {
@@ -60,15 +64,14 @@
                 continue;
             }
             candidates = candidates.saturating_add(1);
-            let mark = self.table.server(server).mark;
-            let tie = route::rank::score(self.flow, u64::from(mark.0));
-            let rank = (self.cost(server), tie, server);
+            let tie = route::rank::score(self.flow, u64::from(row.mark.0));
+            let rank = (row.health.is_suspect(), self.cost(server), tie, server);
             if best.is_none_or(|best| rank < best) {
                 best = Some(rank);
             }
         }
         match best {
-            Some((_, _, server)) => Pick::Server(server, self.basis(server, candidates)),
+            Some((.., server)) => Pick::Server(server, self.basis(server, candidates)),
             None if is_held => Pick::Later,
             None => Pick::Never,
         }
@@ -81,14 +84,10 @@
     }
 
     fn is_free(&self, server: key::Server, may_warm: impl Fn(key::Server) -> bool) -> bool {
-        let row = self.table.server(server);
-        if !row.health.is_due(self.now) {
-            return false;
-        }
         if !self.table.is_cold(server, self.now) {
             return true;
         }
-        self.now >= row.cold_next && may_warm(server)
+        self.now >= self.table.server(server).cold_next && may_warm(server)
     }
 
     fn cost(&self, server: key::Server) -> u64 {
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -4,6 +4,7 @@
 use conf::key;
 use member::Group;
 
+use crate::check;
 use crate::count::Counts;
 use crate::effect::Effect;
 use crate::event::Event;
@@ -17,6 +18,7 @@
 use crate::pass;
 use crate::peer;
 use crate::setting::Setting;
+use crate::table;
 use crate::table::Table;
 use crate::tick;
 
@@ -90,6 +92,11 @@
             } => tick::failed(self, kind, is_history_gone, why, out),
             Event::Candidates(addresses) => peer::candidates(self, addresses, out),
             Event::Frame { peer, frame } => peer::frame(self, peer, frame, out),
+            Event::Checked {
+                server,
+                name,
+                is_well,
+            } => check::ended(self, server, &name, is_well, out),
             Event::Resumed(pause) => self.resume(pause, out),
             Event::Setting(setting) => self.reload(*setting, out),
             Event::Stop => self.stop(out),
@@ -103,7 +110,14 @@
 
     /// Returns whether packets can be served and the balancer is not stopping.
     pub fn is_ready(&self) -> bool {
-        self.can_serve() && self.stopping.is_none()
+        self.can_serve() && self.stopping.is_none() && !self.is_isolated()
+    }
+
+    /// Returns whether no backend server can be reached: callers are better off elsewhere.
+    fn is_isolated(&self) -> bool {
+        let mut known = self.table.servers().filter(|(_, row)| row.is_known());
+        let lost = |(_, row): (key::Server, &table::Row)| row.health.is_lost();
+        self.table.servers().next().is_some() && known.all(lost)
     }
 
     /// Returns whether a planned stop has begun.
@@ -147,8 +161,19 @@
         first == Some(self.incarnation())
     }
 
+    /// Returns whether this balancer is the one of its failure domain that checks a server.
+    pub(crate) fn checks(&self, server: key::Server) -> bool {
+        let identity = self.table.server(server).identity;
+        let near = self.group.alive_in(&self.setting.domain);
+        rank(identity, near) == Some(self.incarnation())
+    }
+
     fn resume(&mut self, pause: Span, out: &mut Vec<Effect>) {
         out.push(Effect::Note(Note::Resumed { pause }));
+        // That flows went unanswered meanwhile says nothing of their servers.
+        for flow in self.flows.clear() {
+            self.table.server_mut(flow.server).open -= 1;
+        }
         self.feeds.refresh(self.now);
         peer::step(self, member::Event::Resume, out);
     }
--- a/crates/forward/src/tick.rs
+++ b/crates/forward/src/tick.rs
@@ -6,6 +6,7 @@
 use conf::raw;
 use conf::store::Change;
 
+use crate::check;
 use crate::count;
 use crate::effect::Effect;
 use crate::feed::Feed;
@@ -72,6 +73,7 @@
         state.loads.expire(now);
     }
     expire_flows(state, out);
+    check::begin(state, out);
     read(state, out);
     report(state, out);
     let is_ready = state.is_ready();
--- a/crates/plat/src/client.rs
+++ b/crates/plat/src/client.rs
@@ -33,6 +33,10 @@
         Ok(Client { http })
     }
 
+    pub(crate) fn http(&self) -> &Http {
+        &self.http
+    }
+
     /// Limits the time of each call, beyond what a watch waits.
     pub fn with_timeout(mut self, timeout: Duration) -> Client {
         self.http = self.http.with_timeout(timeout);
--- a/crates/plat/src/http.rs
+++ b/crates/plat/src/http.rs
@@ -1,7 +1,10 @@
 //! HTTP calls of a platform, whatever its paths and bodies are.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+pub use reqwest::header::HeaderMap;
+use reqwest::header::CONNECTION;
 pub use reqwest::Method;
 use reqwest::RequestBuilder;
 use reqwest::Response;
@@ -14,6 +17,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest time from a call to the end of its answer, beyond what a watch waits.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest time of a check of a server: many times the way to any server and back.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 /// Largest answer, in bytes.
 const ANSWER_MAX: usize = 32 * 1024 * 1024;
 /// Silence of a connection after which it is probed, and pause between two probes: the shortest that
@@ -114,6 +119,17 @@
         decode(&collect(answer, Effect::None).await?, Effect::None)
     }
 
+    /// Asks a server outside the platform for a page, and returns the headers of its answer, whatever
+    /// it is.
+    pub async fn check(&self, address: SocketAddr, path: &str) -> Option<HeaderMap> {
+        let call = self.http.get(format!("http://{address}{path}"));
+        let call = call.header(CONNECTION, "close").timeout(CHECK_TIMEOUT);
+        call.send()
+            .await
+            .ok()
+            .map(|answer| answer.headers().clone())
+    }
+
     /// Writes.
     ///
     /// # Errors
--- a/crates/plat/src/source.rs
+++ b/crates/plat/src/source.rs
@@ -41,6 +41,15 @@
 
     /// Lists the balancers that were made known.
     fn balancers(&self) -> impl Future<Output = Result<Vec<Announcement>, Error>> + Send;
+
+    /// Returns whether a backend server answers a check under its name, whatever it says of its
+    /// health, which may be wrong.
+    fn check(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        name: &str,
+    ) -> impl Future<Output = bool> + Send;
 }
 
 impl Source for Client {
@@ -71,4 +80,8 @@
         };
         Ok(hosts.filter_map(announcement).collect())
     }
+
+    async fn check(&self, address: SocketAddr, path: &str, _name: &str) -> bool {
+        self.http().check(address, path).await.is_some()
+    }
 }
--- a/crates/shell/src/packets/part.rs
+++ b/crates/shell/src/packets/part.rs
@@ -18,6 +18,10 @@
 const PART_BYTES: usize = 1_150;
 /// Most parts of a frame: a routing of 3,000 routes and more.
 pub const PARTS_MAX: usize = 512;
+/// Parts that are sent in one tick: more at once overrun the socket of a peer that starts.
+pub const TURN: usize = 8;
+/// Parts that wait to be sent, at most.
+pub const WAITING_MAX: usize = 2_048;
 /// Senders whose parts are kept at a time.
 pub const SENDERS_MAX: usize = 16;
 
--- a/crates/shell/src/packets/run.rs
+++ b/crates/shell/src/packets/run.rs
@@ -1,5 +1,6 @@
 //! The process: one loop owns the reducer, gives it packets and events, and runs its effects.
 
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
@@ -169,6 +170,8 @@
     parts: Parts,
     /// Numbers the frames to peers.
     frame: u32,
+    /// Parts of long frames that wait their turn.
+    waiting: VecDeque<(SocketAddr, Vec<u8>)>,
     file_time: Option<SystemTime>,
     /// Whether packets are read: until the reducer knows where they go, they wait in the socket.
     is_serving: bool,
@@ -193,6 +196,7 @@
             out: Vec::new(),
             parts: Parts::default(),
             frame: 0,
+            waiting: VecDeque::new(),
             file_time: modified(&shell),
             is_serving: false,
             start: now,
@@ -334,6 +338,7 @@
     fn on_tick(&mut self, now: Time) {
         self.tick = self.tick.wrapping_add(1);
         self.reducer.step(now, Event::Tick, &mut self.out);
+        self.send_waiting();
         if self.tick % LOG_TICKS == 0 {
             self.flush_log();
         }
@@ -431,6 +436,12 @@
                 self.reads.announce(&forward.name, forward.peer.datagram);
             }
             Effect::Withdraw => self.reads.withdraw(&self.shell.setting.forward.name),
+            Effect::Check {
+                server,
+                name,
+                address,
+                path,
+            } => self.reads.check(server, name, address.into(), path),
             Effect::Discover => self.reads.discover(),
             Effect::Opened { took } => self.shell.metric.opened(took),
             Effect::Closed { lasted } => self.shell.metric.closed(lasted),
@@ -441,14 +452,36 @@
 }
 
 impl<C, S> Loop<C, S> {
+    /// Sends a frame, a long one in parts that wait their turn.
     fn send(&mut self, to: SocketAddr, frame: &Frame) {
         self.frame = self.frame.wrapping_add(1);
-        for bytes in part::split(frame, self.frame) {
-            self.shell.metric.sent(Way::Datagram, bytes.len());
-            if let Err(error) = self.shell.peers.send(to, &bytes) {
-                // A lost frame is told again.
-                tracing::debug!(event = "send-failed", %to, %error);
+        let mut parts = part::split(frame, self.frame);
+        match parts.len() {
+            0 => tracing::warn!(event = "frame-too-long", %to),
+            1 => self.send_part(to, &parts.remove(0)),
+            count if self.waiting.len() + count <= part::WAITING_MAX => {
+                self.waiting
+                    .extend(parts.into_iter().map(|part| (to, part)));
             }
+            _ => tracing::warn!(event = "frame-left-out", %to),
+        }
+    }
+
+    /// Sends the parts whose turn it is.
+    fn send_waiting(&mut self) {
+        for _ in 0..part::TURN {
+            let Some((to, bytes)) = self.waiting.pop_front() else {
+                return;
+            };
+            self.send_part(to, &bytes);
+        }
+    }
+
+    fn send_part(&self, to: SocketAddr, bytes: &[u8]) {
+        self.shell.metric.sent(Way::Datagram, bytes.len());
+        if let Err(error) = self.shell.peers.send(to, bytes) {
+            // A lost frame is told again.
+            tracing::debug!(event = "send-failed", %to, %error);
         }
     }
 }
--- a/crates/shell/src/packets/source.rs
+++ b/crates/shell/src/packets/source.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use base::prelude::*;
+use conf::key;
 use conf::object::Kind;
 use forward::event::Event;
 use plat::source::Announcement;
@@ -73,6 +74,21 @@
         });
     }
 
+    /// Checks whether a backend server answers.
+    pub fn check(&self, server: key::Server, name: String, address: SocketAddr, path: String) {
+        let (source, events) = (self.source.clone(), self.events.clone());
+        tokio::spawn(async move {
+            let is_well = source.check(address, &path, &name).await;
+            let event = Event::Checked {
+                server,
+                name,
+                is_well,
+            };
+            // The loop has ended when nobody listens.
+            let _ = events.send(event).await;
+        });
+    }
+
     /// Reads which balancers are known.
     pub fn discover(&self) {
         let (source, events) = (self.source.clone(), self.events.clone());
--- a/crates/shell/src/packets/trace.rs
+++ b/crates/shell/src/packets/trace.rs
@@ -145,7 +145,19 @@
         Note::Doubted { server, by } => {
             tracing::info!(event = "server-suspected", server, by = %by);
         }
-        Note::Answered { server } => tracing::info!(event = "server-answered", server),
+        Note::Answered { server, by } => tracing::info!(
+            event = "server-answered",
+            server,
+            by = by.map_or_else(|| "itself".to_owned(), |by| by.to_string()),
+        ),
+        Note::Lost { server } => tracing::warn!(event = "server-lost", server),
+        Note::GaveUp { flow, server } => tracing::info!(
+            event = "flow-given-up",
+            caller = %flow.caller,
+            service = %flow.service,
+            server,
+            code = %Code::ServerGone,
+        ),
         Note::GivenUp { server, missing } => tracing::info!(
             event = "server-given-up",
             server,
@@ -203,6 +215,10 @@
 fn is_of_flow(note: &Note) -> bool {
     matches!(
         note,
-        Note::Request { .. } | Note::Refused { .. } | Note::Moved { .. } | Note::Expired { .. }
+        Note::Request { .. }
+            | Note::Refused { .. }
+            | Note::Moved { .. }
+            | Note::Expired { .. }
+            | Note::GaveUp { .. }
     )
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -99,8 +99,10 @@
 pub struct Flows {
     /// Backend servers with open flows.
     pub open: Vec<Held>,
-    /// Marks of backend servers that leave opening packets unanswered.
+    /// Marks of backend servers that left packets or checks unanswered just now.
     pub silent: Vec<u32>,
+    /// Marks of backend servers that were suspected and that a check found well just now.
+    pub well: Vec<u32>,
 }
 
 /// The open flows of one backend server.
