Count a silent flow as load for two seconds instead of five

A flow whose end reaches another balancer counts here until it is forgotten; a caller that waits for an answer is silent for a second or so at most.

--- a/crates/forward/src/flow.rs
+++ b/crates/forward/src/flow.rs
@@ -22,8 +22,9 @@
 /// Time after its last opening packet in which a caller may still open a flow: it gives up after
 /// 1.4 s, and its copies come 600 ms after the first at the latest.
 pub const OPENING: Span = Span::millis(1_500);
-/// Time without a packet after which a flow no longer counts as load.
-pub const IDLE: Span = Span::secs(5);
+/// Time without a packet after which a flow no longer counts as load. A caller that waits for its
+/// answer sends nothing, for a second or so even at a server that is slow and has a queue.
+pub const IDLE: Span = Span::secs(2);
 
 /// The two ends of a flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
