--- /dev/null
+++ b/crates/shell/tests/packets.rs
@@ -0,0 +1,174 @@
+//! Parts of the shell of packet forwarding: long frames, settings, request ids.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use bytes::Bytes;
+use proptest::prelude::*;
+use shell::packets::part;
+use shell::packets::part::Parts;
+use shell::packets::part::DATAGRAM_BYTES;
+use shell::packets::part::SENDERS_MAX;
+use shell::packets::setting::Raw;
+use shell::packets::setting::Setting;
+use shell::packets::trace::request_id;
+use wire::frame::Body;
+use wire::frame::Frame;
+use wire::frame::Objects;
+
+fn frame(bytes: usize) -> Frame {
+    let objects = Objects {
+        kind: "Routing".into(),
+        since: 0,
+        upto: 7,
+        age: Span::ZERO,
+        objects: vec![Bytes::from(vec![7; bytes])],
+    };
+    Frame {
+        from: Incarnation(3),
+        body: Body::Objects(vec![objects]),
+    }
+}
+
+fn peer(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7))
+}
+
+proptest! {
+    #[test]
+    fn a_long_frame_is_put_together_in_any_order(bytes in 0..40_000usize, turn in any::<usize>()) {
+        let frame = frame(bytes);
+        let mut datagrams = part::split(&frame, 1);
+        prop_assert!(datagrams.iter().all(|datagram| datagram.len() <= DATAGRAM_BYTES));
+        let turn = turn % datagrams.len();
+        datagrams.rotate_left(turn);
+        let mut parts = Parts::default();
+        let mut whole = Vec::new();
+        for datagram in &datagrams {
+            whole.extend(parts.take(peer(1), datagram).expect("well formed"));
+        }
+        prop_assert_eq!(whole, [frame]);
+    }
+
+    #[test]
+    fn datagrams_of_any_kind_are_taken_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = Parts::default().take(peer(1), &bytes);
+    }
+}
+
+#[test]
+fn a_newer_frame_takes_the_place_of_one_that_is_not_whole() {
+    let mut parts = Parts::default();
+    let (old, new) = (part::split(&frame(5_000), 1), part::split(&frame(6_000), 2));
+    assert_eq!(parts.take(peer(1), &old[0]), Ok(None));
+    let mut whole = None;
+    for datagram in &new {
+        whole = parts.take(peer(1), datagram).expect("well formed");
+    }
+    assert_eq!(whole, Some(frame(6_000)));
+}
+
+#[test]
+fn senders_without_number_take_no_memory_without_bound() {
+    let mut parts = Parts::default();
+    let first = &part::split(&frame(5_000), 1)[0];
+    for number in 0..=255 {
+        assert_eq!(parts.take(peer(number), first), Ok(None));
+    }
+    let kept = format!("{parts:?}").matches("Waiting {").count();
+    assert!(kept <= SENDERS_MAX, "{kept} are kept");
+}
+
+const FILE: &str = "
+# comment
+WASABI_NAME=edge-1
+WASABI_DOMAIN = a
+WASABI_ENTRY=10.0.0.1:80
+WASABI_PEER=10.0.0.1:7720
+WASABI_PLATFORM=http://10.9.0.1:8169
+WASABI_SEEDS=10.0.0.2:8166,10.0.0.3
+WASABI_COLD_OVERAGE=1.5
+WASABI_COLD_SLACK=5
+WASABI_GRACE_MS=6000
+WASABI_LATER=ignored
+";
+
+#[test]
+fn a_settings_file_is_read() {
+    let raw = Raw::default().with_file(FILE).expect("well formed");
+    let setting = Setting::new(raw).expect("no faults");
+    let forward = &setting.forward;
+    assert_eq!(
+        (forward.name.as_str(), forward.domain.as_str()),
+        ("edge-1", "a")
+    );
+    let seeds: Vec<String> = forward.seeds.iter().map(SocketAddr::to_string).collect();
+    assert_eq!(seeds, ["10.0.0.2:7720", "10.0.0.3:7720"]);
+    assert_eq!((forward.cold.overage_percent, forward.cold.slack), (150, 5));
+    assert_eq!(forward.grace, Span::secs(6));
+}
+
+#[test]
+fn a_flag_goes_before_the_file() {
+    let raw = Raw {
+        name: Some("other".into()),
+        ..Raw::default()
+    };
+    let raw = raw.with_file(FILE).expect("well formed");
+    assert_eq!(raw.name.as_deref(), Some("other"));
+}
+
+#[test]
+fn every_fault_is_told() {
+    let text = "WASABI_ENTRY=nowhere\nWASABI_SEEDS=x\nWASABI_COLD_SLACK=-1\nWASABI_GRACE_MS=0";
+    let raw = Raw::default().with_file(text).expect("well formed");
+    let faults = Setting::new(raw).expect_err("faults");
+    let flags: Vec<&str> = faults.iter().map(|fault| fault.flag).collect();
+    let want = [
+        "name",
+        "domain",
+        "entry",
+        "peer",
+        "platform",
+        "seeds",
+        "cold-slack",
+        "grace-ms",
+    ];
+    assert_eq!(flags, want);
+    assert!(Raw::default().with_file("no setting").is_err());
+}
+
+#[test]
+fn settings_that_cannot_change_are_named() {
+    let read = |text: &str| {
+        let raw = Raw::default().with_file(text).expect("well formed");
+        Setting::new(raw).expect("no faults")
+    };
+    let new = read(
+        &FILE
+            .replace("10.0.0.1:80", "10.0.0.1:81")
+            .replace("SLACK=5", "SLACK=6"),
+    );
+    assert_eq!(read(FILE).fixed_changes(&new), ["entry"]);
+}
+
+/// Names each case of data and the request's id in it.
+macro_rules! ids {
+    ($($name:ident: $data:literal => $want:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                assert_eq!(request_id($data), $want);
+            }
+        )*
+    };
+}
+
+ids! {
+    an_id_is_found: b"GET / HTTP/1.1\r\nHost: a\r\nX-Request-Id: a32d01\r\n\r\n" => Some("a32d01");
+    an_id_of_any_case: b"GET / HTTP/1.1\r\nx-REQUEST-id:7\r\n\r\n" => Some("7");
+    no_id: b"GET / HTTP/1.1\r\nHost: a\r\n\r\n" => None;
+    an_id_in_the_body_is_none: b"POST / HTTP/1.1\r\n\r\nx-request-id: 7\r\n" => None;
+    data_that_is_no_text: b"\xff\xfe\r\nx-request-id: \xff\r\n" => None;
+    nothing: b"" => None;
+}
