--- /dev/null
+++ b/crates/forward/tests/common/mod.rs
@@ -0,0 +1,199 @@
+//! A balancer of a given size, for benches and measurements.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+
+use base::prelude::*;
+use conf::object;
+use conf::object::Body;
+use conf::object::Kind;
+use conf::object::Meta;
+use conf::object::Object;
+use conf::object::State;
+use conf::raw;
+use forward::prelude::*;
+use wire::frame::Body as FrameBody;
+use wire::frame::Frame;
+use wire::frame::Gossip;
+use wire::frame::Update;
+
+/// The time at which everything is there.
+pub(crate) const NOW: Time = Time(1_900_000_000_000_000);
+/// Failure domains.
+const DOMAINS: usize = 8;
+
+/// How large a deployment is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Size {
+    /// Balancers.
+    pub(crate) balancers: usize,
+    /// Backend servers.
+    pub(crate) servers: usize,
+    /// Service addresses, each with a pool of its own.
+    pub(crate) services: usize,
+    /// Flows that are open at the balancer.
+    pub(crate) flows: u32,
+}
+
+/// Returns the address of a service.
+pub(crate) fn service(number: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::from(0xc612_0000 + number as u32), 443)
+}
+
+/// Returns a packet of the flow with a number.
+pub(crate) fn head(flow: u32, services: usize, flags: Flags, token: Token) -> Head {
+    let port = 1024 + (flow % 60_000) as u16;
+    Head {
+        flags,
+        length: if flags.syn { 0 } else { 300 },
+        seq: 1,
+        ack: 0,
+        token,
+        caller: SocketAddrV4::new(Ipv4Addr::from(0x6440_0000 + flow / 60_000), port),
+        service: service(flow as usize % services),
+    }
+}
+
+/// Flags of an opening packet.
+pub(crate) const OPENING: Flags = Flags {
+    syn: true,
+    ack: false,
+    fin: false,
+    rst: false,
+};
+/// Flags of a packet of an open flow.
+pub(crate) const OPEN: Flags = Flags {
+    syn: false,
+    ack: true,
+    fin: false,
+    rst: false,
+};
+
+fn raw(name: String, labels: BTreeMap<String, String>, version: u64, body: Body) -> raw::Object {
+    let meta = Meta {
+        name,
+        uid: 1,
+        version,
+        generation: 0,
+        labels,
+    };
+    raw::Object::from(&Object { meta, body })
+}
+
+fn routing(size: Size) -> raw::Object {
+    let route = |number: usize| object::Route {
+        address: SocketAddr::V4(service(number)),
+        shares: vec![object::Share {
+            pool: format!("p{number}"),
+            weight: 1,
+        }],
+    };
+    let pool = |number: usize| object::Pool {
+        name: format!("p{number}"),
+        cold_per_minute: 0,
+        cold: Span::secs(2),
+        check_path: object::CHECK_PATH.into(),
+    };
+    let routing = object::Routing {
+        routes: (0..size.services).map(route).collect(),
+        pools: (0..size.services).map(pool).collect(),
+        idle: Span::secs(15),
+    };
+    raw("main".into(), BTreeMap::new(), 1, Body::Routing(routing))
+}
+
+fn server(number: usize, size: Size) -> raw::Object {
+    let domain = format!("d{}", number % DOMAINS);
+    let labels = [
+        (object::DOMAIN_LABEL, domain.clone()),
+        (object::POOL_LABEL, format!("p{}", number % size.services)),
+    ];
+    let body = Body::Server(object::Server {
+        address: SocketAddr::new(IpAddr::V4(Ipv4Addr::from(0x0a80_0000 + number as u32)), 80),
+        slots: 2,
+        connections: 2000,
+        domain,
+        state: State::In,
+        pool: Some(format!("p{}", number % size.services)),
+        identity: Some(number as u64 + 1),
+        cold: Span::ZERO,
+    });
+    let labels = labels.map(|(name, value)| (name.to_owned(), value));
+    let version = number as u64 + 2;
+    raw(format!("i-{number:08x}"), labels.into(), version, body)
+}
+
+/// Returns the listing of the backend servers.
+pub(crate) fn servers(size: Size) -> Vec<raw::Object> {
+    (0..size.servers)
+        .map(|number| server(number, size))
+        .collect()
+}
+
+/// Makes a balancer that knows everything and holds the flows.
+pub(crate) fn balancer(size: Size) -> Forwarder {
+    let peer = Peer {
+        datagram: SocketAddr::from(([10, 0, 0, 1], 7)),
+        stream: SocketAddr::from(([10, 0, 0, 1], 7)),
+    };
+    let setting = Setting::new("b0", "d0", peer, peer.datagram);
+    let mut balancer = Forwarder::new(setting, NOW);
+    let mut out = Vec::new();
+    let upto = size.servers as u64 + 2;
+    let listings = [
+        (Kind::Routing, vec![routing(size)]),
+        (Kind::Server, servers(size)),
+        (Kind::Domain, Vec::new()),
+    ];
+    for (kind, objects) in listings {
+        let event = Event::Objects {
+            kind,
+            since: 0,
+            upto,
+            objects,
+        };
+        balancer.step(NOW, event, &mut out);
+    }
+    for number in 1..size.balancers {
+        meet(&mut balancer, number);
+    }
+    for flow in 0..size.flows {
+        balancer.packet(NOW, &head(flow, size.services, OPENING, Token(0)), &mut out);
+        out.clear();
+    }
+    balancer
+}
+
+fn meet(balancer: &mut Forwarder, number: usize) {
+    let address = SocketAddr::from((Ipv4Addr::from(0x0a00_0001 + number as u32), 7));
+    let from = Incarnation::new(NOW, &format!("b{number}"));
+    let update = Update {
+        member: from,
+        name: format!("b{number}"),
+        domain: format!("d{}", number % DOMAINS),
+        peer: Peer {
+            datagram: address,
+            stream: address,
+        },
+        admin: address,
+        epoch: 0,
+        state: 0,
+        revision: 0,
+    };
+    let gossip = Gossip {
+        updates: vec![update],
+        ..Gossip::default()
+    };
+    let frame = Frame {
+        from,
+        body: FrameBody::Ping { seq: 1, gossip },
+    };
+    let event = Event::Frame {
+        peer: address,
+        frame,
+    };
+    balancer.step(NOW, event, &mut Vec::new());
+}
--- /dev/null
+++ b/crates/wasabid/tests/forward.rs
@@ -0,0 +1,212 @@
+//! Packet forwarding by a real process, before the stand-in of the platform: a flow from its opening
+//! packet to its backend server, a refusal, a reload and a planned stop.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::net::UdpSocket;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use conf::raw;
+use plat::Client;
+use stub::platform::Platform;
+
+const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+/// The caller's host: resets come to it at the port of the balancer's entry.
+const CALLER: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
+const SERVICE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+const IDENTITY: u64 = 0x7f3a_91c2;
+/// Longest wait for anything.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+const SYN: u8 = 64;
+const ACK: u8 = 16;
+const RST: u8 = 1;
+
+fn packet(flags: u8, token: &[u8], service: SocketAddrV4, data: &[u8]) -> Vec<u8> {
+    let mut packet = vec![flags];
+    packet.extend((data.len() as u16).to_be_bytes());
+    packet.extend(1u32.to_be_bytes());
+    packet.extend(0u32.to_be_bytes());
+    packet.extend(token);
+    packet.extend(40_001u16.to_be_bytes());
+    packet.extend(service.ip().octets());
+    packet.extend(CALLER.octets());
+    packet.extend(service.port().to_be_bytes());
+    packet.extend([0xa1, 0xb2, 0xc3, 0xd5]);
+    packet.extend(data);
+    packet
+}
+
+fn socket(address: SocketAddr) -> UdpSocket {
+    let socket = UdpSocket::bind(address).expect("binds");
+    socket
+        .set_read_timeout(Some(PATIENCE))
+        .expect("takes a timeout");
+    socket
+}
+
+fn recv(socket: &UdpSocket) -> Vec<u8> {
+    let mut buffer = [0; 2_048];
+    let (length, _) = socket.recv_from(&mut buffer).expect("a datagram in time");
+    buffer[..length].to_vec()
+}
+
+fn free_port() -> u16 {
+    let socket = UdpSocket::bind(ANY).expect("binds");
+    socket.local_addr().expect("bound").port()
+}
+
+async fn write(client: &Client, text: &str) {
+    let object: raw::Object = serde_json::from_str(text).expect("an object");
+    client.put(&object, 0).await.expect("written");
+}
+
+/// The process, and the lines that it logs.
+struct Balancer {
+    child: Child,
+    lines: BufReader<std::process::ChildStdout>,
+}
+
+impl Balancer {
+    fn start(entry: SocketAddr, admin: SocketAddr, platform: &str, settings: &str) -> Balancer {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_wasabid"))
+            .args([
+                "forward",
+                "--dialect",
+                "objects",
+                "--name",
+                "b0",
+                "--domain",
+                "a",
+            ])
+            .args(["--entry", &entry.to_string(), "--admin", &admin.to_string()])
+            .args(["--peer", &format!("127.0.0.1:{}", free_port())])
+            .args(["--platform", platform, "--settings", settings])
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("starts");
+        let output = child.stdout.take().expect("piped");
+        Balancer {
+            child,
+            lines: BufReader::new(output),
+        }
+    }
+
+    /// Returns the next log line of an event.
+    fn event(&mut self, event: &str) -> serde_json::Value {
+        let start = Instant::now();
+        while start.elapsed() < PATIENCE {
+            let mut line = String::new();
+            let length = self.lines.read_line(&mut line).expect("read");
+            assert!(length > 0, "the process has ended before {event}");
+            let value: serde_json::Value = serde_json::from_str(&line).expect("a JSON line");
+            if value["event"] == event {
+                return value;
+            }
+        }
+        panic!("no {event} in time");
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args([name, &id]).status();
+        assert!(sent.expect("kill runs").success());
+    }
+}
+
+impl Drop for Balancer {
+    fn drop(&mut self) {
+        // It may have ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_flow_is_forwarded_from_its_opening_to_a_planned_stop() {
+    let platform = Platform::start(ANY, ANY).await.expect("binds");
+    let url = format!("http://{}", platform.address().api);
+    let client = Client::new(&url).expect("a good URL");
+    let server = socket(ANY);
+    let address = server.local_addr().expect("bound");
+    let routing = format!(
+        r#"{{"kind": "Routing", "name": "main", "spec": {{"routes": [{{"address": "{SERVICE}",
+        "shares": [{{"pool": "p", "weight": 1}}]}}],
+        "pools": [{{"name": "p", "cold_per_minute": 0, "cold_ms": 0}}]}}}}"#
+    );
+    let entry = format!(
+        r#"{{"kind": "Server", "name": "i-1", "labels": {{"domain": "a", "pool": "p"}},
+        "spec": {{"address": "{address}", "identity": {IDENTITY}}}}}"#
+    );
+    write(&client, &routing).await;
+    write(&client, &entry).await;
+    let port = free_port();
+    let balancer_at = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+    let caller = socket(SocketAddr::from((CALLER, port)));
+    let folder = std::env::temp_dir();
+    let settings = folder.join(format!("wasabid-forward-{}.env", std::process::id()));
+    std::fs::write(&settings, "WASABI_GRACE_MS=4000\n").expect("written");
+    let path = settings.to_string_lossy().into_owned();
+    let mut balancer = Balancer::start(balancer_at, ANY, &url, &path);
+    balancer.event("start");
+    assert_eq!(balancer.event("ready")["is_ready"], true);
+
+    let opening = packet(SYN, &[0; 4], SERVICE, b"");
+    caller.send_to(&opening, balancer_at).expect("sent");
+    let taken = recv(&server);
+    assert_eq!(
+        taken[..8],
+        IDENTITY.to_be_bytes(),
+        "the server's own name in front"
+    );
+    let token = taken[8 + 11..8 + 15].to_vec();
+    assert_ne!(token, [0; 4]);
+    assert_eq!(
+        taken[8..],
+        packet(SYN, &token, SERVICE, b""),
+        "nothing else changed"
+    );
+
+    let data = b"GET / HTTP/1.1\r\nX-Request-Id: a32d01\r\n\r\n";
+    let request = packet(ACK, &token, SERVICE, data);
+    caller.send_to(&request, balancer_at).expect("sent");
+    assert_eq!(recv(&server)[8..], request);
+    let line = balancer.event("request");
+    assert_eq!(
+        (&line["request"], &line["server"]),
+        (&"a32d01".into(), &"i-1".into())
+    );
+
+    let nowhere = SocketAddrV4::new(*SERVICE.ip(), 444);
+    let stray = packet(SYN, &[0; 4], nowhere, b"");
+    caller.send_to(&stray, balancer_at).expect("sent");
+    let reset = recv(&caller);
+    assert_eq!((reset.len(), reset[0]), (31, RST));
+    assert!(balancer.event("flow-refused")["code"]
+        .to_string()
+        .contains("E108"));
+
+    std::fs::write(&settings, "WASABI_GRACE_MS=nothing\n").expect("written");
+    balancer.signal("-HUP");
+    assert!(balancer.event("reload-failed")["why"]
+        .to_string()
+        .contains("grace-ms"));
+    std::fs::write(&settings, "WASABI_GRACE_MS=3000\n").expect("written");
+    balancer.signal("-HUP");
+    balancer.event("reloaded");
+
+    balancer.signal("-TERM");
+    balancer.event("stopping");
+    caller.send_to(&request, balancer_at).expect("sent");
+    assert_eq!(recv(&server)[8..], request, "flows go on while it stops");
+    balancer.event("stop");
+    assert!(balancer.child.wait().expect("ends").success());
+    std::fs::remove_file(&settings).expect("removed");
+}
