--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -43,16 +43,8 @@
 
 /// Makes the membership of a process that starts at `now`.
 pub(crate) fn group(setting: &Setting, now: Time) -> Group {
-    let me = Member {
-        incarnation: Incarnation::new(now, &setting.name),
-        name: setting.name.clone(),
-        domain: setting.domain.clone(),
-        peer: setting.peer,
-        admin: setting.admin,
-        epoch: 0,
-        state: member::State::Alive,
-        revision: 0,
-    };
+    let (name, domain) = (setting.name.clone(), setting.domain.clone());
+    let me = Member::new(name, domain, setting.peer, setting.admin, now);
     let period = member::Setting::default().with_period(PROBE_PERIOD, PROBE_TIMEOUT);
     let mut group = Group::new(me, period);
     let seeds = member::Event::Candidates(setting.seeds.clone());
--- a/crates/member/src/record.rs
+++ b/crates/member/src/record.rs
@@ -86,6 +86,27 @@
 }
 
 impl Member {
+    /// Makes the record of a process that starts at `now`.
+    pub fn new(
+        name: impl Into<String>,
+        domain: impl Into<String>,
+        peer: Peer,
+        admin: SocketAddr,
+        now: Time,
+    ) -> Member {
+        let name = name.into();
+        Member {
+            incarnation: Incarnation::new(now, &name),
+            name,
+            domain: domain.into(),
+            peer,
+            admin,
+            epoch: 0,
+            state: State::Alive,
+            revision: 0,
+        }
+    }
+
     /// Returns the order of records of one incarnation: the greater one is the newer.
     ///
     /// Final states are greater than all others, whatever the epoch, so that an incarnation never
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -30,16 +30,8 @@
 
 /// Makes the membership of a process that starts at `now`.
 pub(crate) fn group(setting: &Setting, now: Time) -> Group {
-    let me = Member {
-        incarnation: Incarnation::new(now, &setting.name),
-        name: setting.name.clone(),
-        domain: setting.domain.clone(),
-        peer: setting.peer,
-        admin: setting.admin,
-        epoch: 0,
-        state: member::State::Alive,
-        revision: 0,
-    };
+    let (name, domain) = (setting.name.clone(), setting.domain.clone());
+    let me = Member::new(name, domain, setting.peer, setting.admin, now);
     let mut group = Group::new(me, member::Setting::default());
     let seeds = setting.seeds.clone();
     // Nothing is to be sent before the first tick, which probes the candidates.
--- a/crates/wasabid/src/flag.rs
+++ b/crates/wasabid/src/flag.rs
@@ -34,6 +34,43 @@
         .map(move |given| given.or_else(|| std::env::var(env).ok()))
 }
 
+/// The flags that both ways of serving have.
+fn name() -> impl Parser<Option<String>> {
+    flag(
+        "name",
+        "WASABI_NAME",
+        "NAME",
+        "name of this balancer, [a-z0-9.-]; required",
+    )
+}
+
+fn domain() -> impl Parser<Option<String>> {
+    flag(
+        "domain",
+        "WASABI_DOMAIN",
+        "NAME",
+        "failure domain that this balancer is in; required",
+    )
+}
+
+fn admin() -> impl Parser<Option<String>> {
+    flag(
+        "admin",
+        "WASABI_ADMIN",
+        "IP:PORT",
+        "TCP address of the pages /dump /health /ready /metrics [default: 127.0.0.1:0]",
+    )
+}
+
+fn platform() -> impl Parser<Option<String>> {
+    flag(
+        "platform",
+        "WASABI_PLATFORM",
+        "URL",
+        "base URL of the platform; required",
+    )
+}
+
 /// What the process does.
 pub(crate) enum Command {
     /// Forwards packets, on a platform that speaks this dialect.
@@ -79,18 +116,8 @@
         .help("file with a line NAME=value for each setting, read again on SIGHUP and when it changes")
         .argument::<PathBuf>("FILE")
         .optional();
-    let name = flag(
-        "name",
-        "WASABI_NAME",
-        "NAME",
-        "name of this balancer, [a-z0-9.-]; required",
-    );
-    let domain = flag(
-        "domain",
-        "WASABI_DOMAIN",
-        "NAME",
-        "failure domain that this balancer is in; required",
-    );
+    let name = name();
+    let domain = domain();
     let entry = flag(
         "entry",
         "WASABI_ENTRY",
@@ -103,18 +130,8 @@
         "IP:PORT",
         "UDP address for peers, as peers reach it, the same port on all; required",
     );
-    let admin = flag(
-        "admin",
-        "WASABI_ADMIN",
-        "IP:PORT",
-        "TCP address of the pages /dump /health /ready /metrics [default: 127.0.0.1:0]",
-    );
-    let platform = flag(
-        "platform",
-        "WASABI_PLATFORM",
-        "URL",
-        "base URL of the platform; required",
-    );
+    let admin = admin();
+    let platform = platform();
     let seeds = flag(
         "seeds",
         "WASABI_SEEDS",
@@ -174,18 +191,8 @@
 /// Returns the parser of the flags of the relay. Values are checked together by
 /// `shell::setting::Setting`.
 fn relay() -> impl Parser<Raw> {
-    let name = flag(
-        "name",
-        "WASABI_NAME",
-        "NAME",
-        "name of this balancer, [a-z0-9.-]; required",
-    );
-    let domain = flag(
-        "domain",
-        "WASABI_DOMAIN",
-        "NAME",
-        "failure domain that this balancer is in; required",
-    );
+    let name = name();
+    let domain = domain();
     let entry = flag(
         "entry",
         "WASABI_ENTRY",
@@ -204,18 +211,8 @@
         "IP:PORT",
         "UDP address for QUIC connections of peers, as peers reach it; required",
     );
-    let admin = flag(
-        "admin",
-        "WASABI_ADMIN",
-        "IP:PORT",
-        "TCP address of the pages /dump /health /ready /metrics [default: 127.0.0.1:0]",
-    );
-    let platform = flag(
-        "platform",
-        "WASABI_PLATFORM",
-        "URL",
-        "base URL of the platform; required",
-    );
+    let admin = admin();
+    let platform = platform();
     let seeds = flag(
         "seeds",
         "WASABI_SEEDS",
