Let a domain that nothing leaves serve itself; part files that had grown

Cause: while nothing gets out of a domain, its servers cannot write their entries, which lapse, and its balancers, which hear so from outside, refused their callers although the servers next to them were well. Where every listed server is silent, a server of the own domain whose entry only lapsed, and that nothing speaks against, is used. A balancer that reaches the rest of the deployment never comes to this.

--- a/crates/conf/src/object.rs
+++ b/crates/conf/src/object.rs
@@ -14,6 +14,12 @@
 use crate::label::Labels;
 use crate::label::Selector;
 use crate::raw;
+pub use crate::routing::Pool;
+pub use crate::routing::Route;
+pub use crate::routing::Routing;
+pub use crate::routing::Share;
+pub use crate::routing::CHECK_PATH;
+pub use crate::routing::IDLE_MS;
 use crate::spec;
 
 /// Longest name of an object, in bytes.
@@ -24,10 +30,6 @@
 pub const REPORT_MAX: usize = 512 * 1024;
 /// Longest spec of a routing, in bytes. It holds every route, and the platform's values end there.
 pub const ROUTING_MAX: usize = 1024 * 1024;
-/// What backend servers are asked for in a check where the pool names nothing.
-pub const CHECK_PATH: &str = "/health";
-/// Time that a flow may be idle where the routing names none.
-pub const IDLE_MS: u32 = 15_000;
 /// Deadline of requests to a service that names none.
 pub const DEADLINE_MS: u32 = 10_000;
 /// Longest deadline that a service may name.
@@ -146,48 +148,6 @@
     pub cold: Span,
 }
 
-/// Where packet flows go.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Routing {
-    /// Every route.
-    pub routes: Vec<Route>,
-    /// The pools that routes lead to.
-    pub pools: Vec<Pool>,
-    /// Time after which an idle flow may be forgotten.
-    pub idle: Span,
-}
-
-/// A service address of packet flows, and the pools that new flows are shared among.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Route {
-    /// The address and port that callers send to.
-    pub address: SocketAddr,
-    /// The pools, with their weights.
-    pub shares: Vec<Share>,
-}
-
-/// A pool's part of the new flows of a route.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Share {
-    /// Name of the pool.
-    pub pool: String,
-    /// Its part, relative to the other weights of the route.
-    pub weight: u32,
-}
-
-/// Backend servers that serve the same flows.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Pool {
-    /// Its name, which is the value of its servers' label.
-    pub name: String,
-    /// New flows a minute that one of its servers bears while it is cold.
-    pub cold_per_minute: u32,
-    /// How long a server is cold after its start.
-    pub cold: Span,
-    /// What its servers are asked for to see whether they answer.
-    pub check_path: String,
-}
-
 /// A failure domain.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Domain {
@@ -457,55 +417,6 @@
     }
 }
 
-impl From<spec::Routing> for Routing {
-    fn from(spec: spec::Routing) -> Routing {
-        let share = |share: spec::Share| Share {
-            pool: share.pool,
-            weight: share.weight,
-        };
-        let route = |route: spec::Route| Route {
-            address: route.address,
-            shares: route.shares.into_iter().map(share).collect(),
-        };
-        let pool = |pool: spec::Pool| Pool {
-            name: pool.name,
-            cold_per_minute: pool.cold_per_minute,
-            cold: Span::millis(pool.cold_ms.into()),
-            check_path: pool.check_path.unwrap_or_else(|| CHECK_PATH.into()),
-        };
-        Routing {
-            routes: spec.routes.into_iter().map(route).collect(),
-            pools: spec.pools.into_iter().map(pool).collect(),
-            idle: Span::millis(spec.idle_ms.unwrap_or(IDLE_MS).into()),
-        }
-    }
-}
-
-impl From<&Routing> for spec::Routing {
-    fn from(routing: &Routing) -> spec::Routing {
-        let millis = |span: Span| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
-        let share = |share: &Share| spec::Share {
-            pool: share.pool.clone(),
-            weight: share.weight,
-        };
-        let route = |route: &Route| spec::Route {
-            address: route.address,
-            shares: route.shares.iter().map(share).collect(),
-        };
-        let pool = |pool: &Pool| spec::Pool {
-            name: pool.name.clone(),
-            cold_per_minute: pool.cold_per_minute,
-            cold_ms: millis(pool.cold),
-            check_path: Some(pool.check_path.clone()),
-        };
-        spec::Routing {
-            routes: routing.routes.iter().map(route).collect(),
-            pools: routing.pools.iter().map(pool).collect(),
-            idle_ms: Some(millis(routing.idle)),
-        }
-    }
-}
-
 impl From<&Body> for raw::Spec {
     fn from(body: &Body) -> raw::Spec {
         let value = match body {
--- a/crates/forward/src/load.rs
+++ b/crates/forward/src/load.rs
@@ -9,7 +9,7 @@
 use wire::frame::Held;
 use wire::frame::Silence;
 
-use crate::table::Row;
+use crate::table::row::Row;
 use crate::table::Table;
 use crate::token::Mark;
 
--- a/crates/forward/src/pick.rs
+++ b/crates/forward/src/pick.rs
@@ -53,10 +53,14 @@
     pub fn pick(&self, pool: key::Pool, may_warm: impl Fn(key::Server) -> bool) -> Pick {
         let mut best: Option<Rank> = None;
         let mut candidates = 0u16;
-        let mut is_held = false;
+        let (mut is_held, mut is_silent) = (false, false);
         for &server in &self.table.pool(pool).servers {
             let row = self.table.server(server);
-            if !self.is_open(server) || row.health.is_confirmed() {
+            if !self.is_open(server) {
+                continue;
+            }
+            if row.health.is_confirmed() {
+                is_silent = true;
                 continue;
             }
             if !self.is_free(server, &may_warm) {
@@ -73,10 +77,37 @@
         match best {
             Some((.., server)) => Pick::Server(server, self.basis(server, candidates)),
             None if is_held => Pick::Later,
+            None if is_silent => self.pick_lapsed(pool),
             None => Pick::Never,
         }
     }
 
+    /// Chooses a server of the own domain whose entry lapsed. No server that is listed can be reached,
+    /// so the domain is cut off, and its servers' entries lapse because they cannot be written.
+    fn pick_lapsed(&self, pool: key::Pool) -> Pick {
+        let servers = self.table.pool(pool).servers.iter().copied();
+        let well: Vec<key::Server> = servers.filter(|&server| self.is_lapsed(server)).collect();
+        let cost = |server: &key::Server| {
+            let mark = self.table.server(*server).mark;
+            (
+                self.cost(*server),
+                route::rank::score(self.flow, u64::from(mark.0)),
+            )
+        };
+        let candidates = u16::try_from(well.len()).unwrap_or(u16::MAX);
+        match well.into_iter().min_by_key(cost) {
+            Some(server) => Pick::Server(server, self.basis(server, candidates)),
+            None => Pick::Never,
+        }
+    }
+
+    fn is_lapsed(&self, server: key::Server) -> bool {
+        let row = self.table.server(server);
+        let domain = self.table.domain(row.domain);
+        let is_home = domain.name == self.home && domain.out.is_none();
+        row.is_lapsed_and_well() && is_home && self.except != Some(server)
+    }
+
     fn is_open(&self, server: key::Server) -> bool {
         let row = self.table.server(server);
         let is_out = self.table.domain(row.domain).out.is_some();
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -120,7 +120,7 @@
     /// Returns whether no backend server can be reached: callers are better off elsewhere.
     fn is_isolated(&self) -> bool {
         let mut known = self.table.servers().filter(|(_, row)| row.is_known());
-        let lost = |(_, row): (key::Server, &table::Row)| row.health.is_lost();
+        let lost = |(_, row): (key::Server, &table::row::Row)| row.health.is_lost();
         self.table.servers().next().is_some() && known.all(lost)
     }
 
--- a/crates/forward/src/table.rs
+++ b/crates/forward/src/table.rs
@@ -6,7 +6,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::fmt;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 
@@ -20,9 +19,12 @@
 use cranelift_entity::PrimaryMap;
 
 use crate::health::Health;
-use crate::packet::Target;
+use crate::table::row::Row;
+use crate::table::row::Standing;
 use crate::token::Mark;
 
+pub mod row;
+
 /// Time for which a backend server whose entry went missing, without leave, still takes new flows:
 /// entries that lapse while the platform is away are back within two seconds of its return.
 pub const MISSING: Span = Span::secs(2);
@@ -34,52 +36,6 @@
 /// Most backend servers that are kept, those that are gone included.
 pub const SERVERS_MAX: usize = 20_000;
 
-/// What the platform says of a backend server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Standing {
-    /// It takes new flows.
-    Ready,
-    /// It leaves: it keeps its flows.
-    Draining,
-    /// Its entry went missing at this time, without leave.
-    Missing(Time),
-    /// It has left, or was given up, at this time.
-    Gone(Time),
-}
-
-/// One backend server.
-#[derive(Clone, Debug)]
-pub struct Row {
-    /// Its name.
-    pub name: String,
-    /// What forwarded packets name it by.
-    pub identity: u64,
-    /// What route tokens name it by.
-    pub mark: Mark,
-    /// Where it takes packets.
-    pub address: SocketAddrV4,
-    /// Its failure domain.
-    pub domain: key::Domain,
-    /// Its pool.
-    pub pool: Option<key::Pool>,
-    /// Requests it runs at a time.
-    pub slots: u32,
-    /// What the platform says of it.
-    pub standing: Standing,
-    /// Revision of its entry.
-    pub version: u64,
-    /// Until when it is cold.
-    pub cold_until: Time,
-    /// When it may be given the next flow while it is cold.
-    pub cold_next: Time,
-    /// Another server has its mark, and comes first: no flow is opened here.
-    pub is_shadowed: bool,
-    /// Flows that this balancer holds open there.
-    pub open: u32,
-    /// What unanswered packets say of it.
-    pub health: Health,
-}
-
 /// One pool.
 #[derive(Clone, Debug)]
 pub struct Pool {
@@ -126,30 +82,6 @@
     routing_version: u64,
 }
 
-impl Row {
-    /// Returns where its packets go.
-    pub fn target(&self) -> Target {
-        Target {
-            identity: self.identity,
-            address: self.address,
-        }
-    }
-
-    /// Returns whether it may still be there.
-    pub fn is_known(&self) -> bool {
-        !matches!(self.standing, Standing::Gone(_))
-    }
-
-    /// Returns whether it takes new flows, as far as the platform says.
-    pub fn is_listed(&self, now: Time) -> bool {
-        match self.standing {
-            Standing::Ready => !self.is_shadowed,
-            Standing::Missing(since) => !self.is_shadowed && now.since(since) < MISSING,
-            Standing::Draining | Standing::Gone(_) => false,
-        }
-    }
-}
-
 impl Table {
     /// Returns whether a routing is in force.
     pub fn has_routing(&self) -> bool {
@@ -267,7 +199,7 @@
             match row.standing {
                 Standing::Ready => row.standing = Standing::Missing(now),
                 Standing::Draining => row.standing = Standing::Gone(now),
-                Standing::Missing(_) | Standing::Gone(_) => continue,
+                Standing::Missing(_) | Standing::Lapsed(_) | Standing::Gone(_) => continue,
             }
             changes += 1;
         }
@@ -326,10 +258,12 @@
             let row = &mut self.servers[key];
             match row.standing {
                 Standing::Missing(since) if now.since(since) >= MISSING => {
-                    row.standing = Standing::Gone(now);
+                    row.standing = Standing::Lapsed(now);
                     given_up.push(key);
                 }
-                Standing::Gone(since) if now.since(since) >= FORGET && row.open == 0 => {
+                Standing::Lapsed(since) | Standing::Gone(since)
+                    if now.since(since) >= FORGET && row.open == 0 =>
+                {
                     forgotten.push((name.clone(), key));
                 }
                 _ => (),
@@ -485,24 +419,3 @@
         unreachable!("the weights of a route add up to its total")
     }
 }
-
-impl fmt::Display for Row {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "{} {} at {} in {}",
-            self.name, self.mark, self.address, self.domain
-        )?;
-        match self.pool {
-            Some(pool) => write!(f, " {pool}")?,
-            None => f.write_str(" no pool")?,
-        }
-        write!(f, " v{} open {} {}: ", self.version, self.open, self.health)?;
-        match self.standing {
-            Standing::Ready => f.write_str("ready"),
-            Standing::Draining => f.write_str("draining"),
-            Standing::Missing(since) => write!(f, "missing since {since}"),
-            Standing::Gone(since) => write!(f, "gone since {since}"),
-        }
-    }
-}
--- a/crates/forward/tests/all/load.rs
+++ b/crates/forward/tests/all/load.rs
@@ -154,3 +154,29 @@
     world.run(Span::secs(5));
     world.assert_rules();
 }
+
+/// Pattern: nothing gets out of a domain, so that its servers' entries lapse while they serve.
+#[test]
+fn a_domain_that_nothing_leaves_serves_itself() {
+    let mut world = World::new(10, 3, 9, 18).with_rate(80.0);
+    world.run(Span::secs(4));
+    world.mute.insert(0);
+    world.run(Span::secs(3));
+    let names: Vec<String> = world
+        .servers
+        .iter()
+        .filter(|one| one.domain == 0)
+        .map(|one| one.name.clone())
+        .collect();
+    for name in names {
+        world.remove(conf::object::Kind::Server, &name);
+    }
+    world.run(Span::secs(3));
+    let from = world.now;
+    world.run(Span::secs(4));
+    let asked = world.count(from, |one| one.domain == 0);
+    let served = world.count(from, |one| {
+        one.domain == 0 && matches!(one.outcome, Outcome::Served(_))
+    });
+    assert!(served * 20 > asked * 19, "{served} of {asked} served");
+}
--- a/crates/forward/tests/all/table.rs
+++ b/crates/forward/tests/all/table.rs
@@ -9,7 +9,7 @@
 use conf::object::Meta;
 use conf::object::Object;
 use conf::object::State;
-use forward::table::Standing;
+use forward::table::row::Standing;
 use forward::table::Table;
 use forward::table::FORGET;
 use forward::table::MISSING;
@@ -44,7 +44,7 @@
 }
 
 #[test]
-fn a_server_without_an_entry_is_missing_then_gone_then_forgotten() {
+fn a_server_without_an_entry_is_missing_then_lapsed_then_forgotten() {
     let mut table = Table::default();
     let ready = server("i-1", 1, State::In, 1);
     table.put_servers(NOW, [&ready].into_iter());
@@ -53,7 +53,7 @@
     assert_eq!(standing(&table, "i-1"), Some(Standing::Missing(NOW)));
     let gone = NOW + MISSING;
     assert_eq!(table.expire(gone).len(), 1);
-    assert_eq!(standing(&table, "i-1"), Some(Standing::Gone(gone)));
+    assert_eq!(standing(&table, "i-1"), Some(Standing::Lapsed(gone)));
     assert!(table.find(Mark::new(1)).is_some(), "its flows find it");
     table.expire(gone + FORGET);
     assert_eq!(standing(&table, "i-1"), None);
--- a/crates/forward/tests/all/world/mod.rs
+++ b/crates/forward/tests/all/world/mod.rs
@@ -138,6 +138,8 @@
     by_caller: BTreeMap<SocketAddrV4, u32>,
     /// Failure domains that are cut off from all others and from the store.
     pub(crate) cut: BTreeSet<usize>,
+    /// Failure domains that nothing gets out of.
+    pub(crate) mute: BTreeSet<usize>,
     pub(crate) out_since: BTreeMap<usize, Time>,
     pub(crate) breaches: BTreeSet<Breach>,
     /// Requests a second that callers of each domain make.
@@ -190,6 +192,7 @@
             requests: Vec::new(),
             by_caller: BTreeMap::new(),
             cut: BTreeSet::new(),
+            mute: BTreeSet::new(),
             out_since: BTreeMap::new(),
             breaches: BTreeSet::new(),
             rate: 0.0,
@@ -310,9 +313,10 @@
         self.write_domain(domain, is_out);
     }
 
-    /// Returns whether nothing passes between two domains.
-    fn is_apart(&self, one: usize, other: usize) -> bool {
-        one != other && (self.cut.contains(&one) || self.cut.contains(&other))
+    /// Returns whether nothing passes from one domain to another.
+    fn is_apart(&self, from: usize, to: usize) -> bool {
+        let is_cut = self.cut.contains(&from) || self.cut.contains(&to);
+        from != to && (is_cut || self.mute.contains(&from))
     }
 
     fn way(&self, one: usize, other: usize) -> Span {
--- a/crates/forward/tests/all/world/run.rs
+++ b/crates/forward/tests/all/world/run.rs
@@ -259,6 +259,9 @@
 
     fn is_reachable(&self, from: usize, name: &str) -> bool {
         let server = self.servers.iter().find(|one| one.name == name);
-        server.is_some_and(|one| one.answers() && !self.is_apart(from, one.domain))
+        server.is_some_and(|one| {
+            let there = one.domain;
+            one.answers() && !self.is_apart(from, there) && !self.is_apart(there, from)
+        })
     }
 }
--- a/crates/forward/tests/all/world/store.rs
+++ b/crates/forward/tests/all/world/store.rs
@@ -244,7 +244,8 @@
         // A newer read of a kind replaces the older one.
         let same = |old: &Watch| old.balancer == balancer && old.kind == kind;
         self.store.watches.retain(|old| !same(old));
-        let is_cut = self.cut.contains(&self.balancers[balancer].domain);
+        let domain = self.balancers[balancer].domain;
+        let is_cut = self.cut.contains(&domain) || self.mute.contains(&domain);
         if self.now < self.store.down_until || self.store.refused.contains(&balancer) || is_cut {
             let event = Event::Failed {
                 kind,
--- a/crates/shell/src/packets.rs
+++ b/crates/shell/src/packets.rs
@@ -7,11 +7,13 @@
 //! - `part`: frames longer than a datagram, in parts.
 //! - `source`: reads of the platform, as tasks.
 //! - `trace`: log lines of the reducer's decisions.
+//! - `signal`: signals that the process takes.
 //! - `run`: the process.
 
 pub mod batch;
 pub mod part;
 pub mod run;
 pub mod setting;
+mod signal;
 pub mod source;
 pub mod trace;
--- a/crates/shell/src/packets/run.rs
+++ b/crates/shell/src/packets/run.rs
@@ -17,9 +17,6 @@
 use forward::packet::Verdict;
 use forward::Forwarder;
 use plat::source::Source;
-use tokio::signal::unix::signal;
-use tokio::signal::unix::Signal;
-use tokio::signal::unix::SignalKind;
 use tokio::sync::mpsc;
 use tokio::time::Interval;
 use tokio::time::MissedTickBehavior;
@@ -36,6 +33,7 @@
 use crate::packets::part;
 use crate::packets::part::Parts;
 use crate::packets::setting::Setting;
+use crate::packets::signal::Signals;
 use crate::packets::source::Reads;
 use crate::packets::trace;
 use crate::run::Outcome;
@@ -498,20 +496,3 @@
         .map(|(name, value)| Count::new(name, value))
         .collect()
 }
-
-/// Signals that the process takes.
-struct Signals {
-    terminate: Signal,
-    interrupt: Signal,
-    reload: Signal,
-}
-
-impl Signals {
-    fn new() -> eyre::Result<Signals> {
-        Ok(Signals {
-            terminate: signal(SignalKind::terminate())?,
-            interrupt: signal(SignalKind::interrupt())?,
-            reload: signal(SignalKind::hangup())?,
-        })
-    }
-}
