--- a/crates/forward/src/dump.rs
+++ b/crates/forward/src/dump.rs
@@ -26,9 +26,9 @@
         for feed in self.feeds.iter() {
             let (kind, revision) = (feed.kind(), feed.store().revision());
             write!(f, "{kind} r{revision}, ")?;
-            match feed.is_known() {
-                true => writeln!(f, "confirmed {} ago", feed.age(self.now))?,
-                false => writeln!(f, "not known")?,
+            match feed.age(self.now) {
+                Some(age) => writeln!(f, "confirmed {age} ago")?,
+                None => writeln!(f, "not known")?,
             }
             for fault in feed.store().faults() {
                 writeln!(f, "  {fault}")?;
--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -120,9 +120,14 @@
         self.failures > 0
     }
 
-    /// Returns the time since the platform last answered, here or to whoever told it.
-    pub fn age(&self, now: Time) -> Span {
-        self.confirmed.map_or(Span(u64::MAX), |at| now.since(at))
+    /// Returns how many reads failed since the last answer.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    /// Returns the time since the platform last answered, here or to whoever told it, if it ever did.
+    pub fn age(&self, now: Time) -> Option<Span> {
+        self.confirmed.map(|at| now.since(at))
     }
 
     /// Returns whether others tell how far their knowledge goes.
@@ -318,8 +323,8 @@
     }
 
     /// Returns the age of what is known of a kind.
-    pub fn age(&self, kind: Kind, now: Time) -> Span {
-        self.get(kind).map_or(Span(u64::MAX), |feed| feed.age(now))
+    pub fn age(&self, kind: Kind, now: Time) -> Option<Span> {
+        self.get(kind)?.age(now)
     }
 
     /// Returns the highest version of an object that is known.
--- a/crates/forward/src/note.rs
+++ b/crates/forward/src/note.rs
@@ -34,8 +34,15 @@
         code: Code,
         /// Revision of the routing in force.
         routing: u64,
-        /// Age of what is known of backend servers.
-        age: Span,
+        /// Age of what is known of backend servers; `None` while nothing is.
+        age: Option<Span>,
+    },
+    /// An opening packet was dropped, since all that could take it are cold: the caller sends a copy.
+    Held {
+        /// The flow.
+        flow: Id,
+        /// Copies that the caller sent before.
+        copies: u32,
     },
     /// An opening packet went to another server, since the first did not answer.
     Moved {
@@ -135,8 +142,8 @@
         kind: Kind,
         /// What happened.
         why: String,
-        /// Time since the last answer.
-        age: Span,
+        /// Time since the last answer; `None` when there was none.
+        age: Option<Span>,
     },
     /// A read succeeded after failures.
     ReadBack {
@@ -189,6 +196,7 @@
         match self {
             Note::Request { flow, server, .. } => write!(f, "{flow}: request to {server}"),
             Note::Refused { flow, code, .. } => write!(f, "{flow}: refused, {code}"),
+            Note::Held { flow, copies } => write!(f, "{flow}: held, copy {copies}"),
             Note::Moved { flow, from, to, .. } => write!(f, "{flow}: {from} is silent, now {to}"),
             Note::Expired { flow, server, .. } => write!(f, "{flow}: quiet at {server}"),
             Note::GaveUp { flow, server } => write!(f, "{flow}: reset, {server} is lost"),
--- a/crates/forward/src/open.rs
+++ b/crates/forward/src/open.rs
@@ -51,6 +51,8 @@
         Pick::Server(server, basis) => begin(state, id, server, basis),
         Pick::Later if head.ack < LAST_COPY => {
             state.counts.add(Kind::Held);
+            let copies = head.ack;
+            out.push(Effect::Note(Note::Held { flow: id, copies }));
             Verdict::Drop(Code::FlowHeld)
         }
         Pick::Later | Pick::Never => refuse(state, id, Code::NoServer, out),
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -173,7 +173,7 @@
         return;
     };
     let upto = feed.store().revision();
-    let age = feed.age(now);
+    let age = feed.age(now).unwrap_or_default();
     let since = since.max(feed.store().horizon());
     let changed = match since < upto {
         true => feed.store().delta(since),
@@ -267,7 +267,7 @@
         };
         let told = Objects {
             objects: encode(&objects),
-            ..part(feed.kind(), since, upto, feed.age(now))
+            ..part(feed.kind(), since, upto, feed.age(now).unwrap_or_default())
         };
         send(state, peer, Body::Objects(vec![told]), out);
     }
@@ -293,7 +293,7 @@
         .filter(|feed| feed.is_known() && !feed.is_failing())
         .map(|feed| {
             let (since, upto) = feed.span();
-            part(feed.kind(), since, upto, feed.age(now))
+            part(feed.kind(), since, upto, feed.age(now).unwrap_or_default())
         })
         .collect();
     if !marks.is_empty() {
--- a/crates/forward/src/tick.rs
+++ b/crates/forward/src/tick.rs
@@ -205,7 +205,7 @@
     let Some(feed) = state.feeds.get_mut(kind) else {
         return;
     };
-    let (have, was_failing) = (feed.store().revision(), feed.is_failing());
+    let (have, failures) = (feed.store().revision(), feed.failures());
     let before = peer::Before::new(feed);
     let Some(change) = feed.answer(now, since, upto, objects) else {
         let got = upto;
@@ -213,8 +213,8 @@
         return;
     };
     state.feeds.expect(now, upto);
-    if was_failing {
-        out.push(Effect::Note(Note::ReadBack { kind, failures: 1 }));
+    if failures > 0 {
+        out.push(Effect::Note(Note::ReadBack { kind, failures }));
     }
     apply(state, kind, change, None, out);
     if change.objects > 0 {
--- a/crates/shell/src/packets/trace.rs
+++ b/crates/shell/src/packets/trace.rs
@@ -97,7 +97,14 @@
             service = %flow.service,
             code = %code,
             routing,
-            servers_age_ms = age.as_millis(),
+            servers_age_ms = age.map(Span::as_millis),
+        ),
+        Note::Held { flow, copies } => tracing::info!(
+            event = "flow-held",
+            caller = %flow.caller,
+            service = %flow.service,
+            code = %Code::FlowHeld,
+            copies,
         ),
         Note::Moved {
             flow,
@@ -186,7 +193,7 @@
             event = "platform-lost",
             kind = kind.name(),
             why,
-            age_ms = age.as_millis(),
+            age_ms = age.map(Span::as_millis),
         ),
         Note::ReadBack { kind, failures } => {
             tracing::info!(event = "platform-back", kind = kind.name(), failures);
@@ -217,6 +224,7 @@
         note,
         Note::Request { .. }
             | Note::Refused { .. }
+            | Note::Held { .. }
             | Note::Moved { .. }
             | Note::Expired { .. }
             | Note::GaveUp { .. }
