Take signals before a process says that it is there

Cause: a process printed its first line and took SIGTERM only afterwards, so that one sent in between ended it at once. Ruled out: load alone, since the order of the two steps explains it and no load ran then.

--- a/crates/shell/src/run.rs
+++ b/crates/shell/src/run.rs
@@ -96,6 +96,8 @@
     pub(crate) events: mpsc::Receiver<Event>,
     pub(crate) arrivals: mpsc::Receiver<Arrival>,
     pub(crate) asks: mpsc::Receiver<Ask>,
+    /// Taken before anybody is told that the process is there: a stop may be asked for at once.
+    signals: Option<Signals>,
 }
 
 impl Shell {
@@ -105,6 +107,7 @@
     ///
     /// Fails when an address cannot be bound, naming it.
     pub async fn bind(setting: &Setting) -> eyre::Result<Shell> {
+        let signals = Signals::new()?;
         let clock = Clock::new();
         let metric = Arc::new(Metric::new(&setting.name)?);
         let (sender, events) = mpsc::channel(EVENTS);
@@ -140,6 +143,7 @@
             events,
             arrivals,
             asks,
+            signals: Some(signals),
         })
     }
 
@@ -164,13 +168,14 @@
     ///
     /// Fails when signals cannot be handled or the loop panics.
     pub async fn run(
-        self,
+        mut self,
         reducer: impl Reducer,
         platform: impl watch::Platform,
     ) -> eyre::Result<Outcome> {
-        let mut signals = Signals::new()?;
         let stop = self.sender.clone();
         let control = watch::start(platform, self.sender.clone(), self.metric.clone());
+        let taken = self.signals.take();
+        let mut signals = taken.expect("signals are taken once, when the sockets are bound");
         let task = tokio::spawn(Loop::new(self, reducer, control).run());
         tokio::pin!(task);
         tokio::select! {
