Ask the teller for what is missing before a change, and settle before reading

Change: what is missing is asked of the balancer that told, and read from the store after 150 ms without its answer; 12,000 bytes of changes are told, compressed; a balancer reads by itself 1.2 s after its first listing at the earliest, by when balancers that start together have found each other.

--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -40,6 +40,11 @@
 pub const DOMAIN_PATIENCE: Span = Span::millis(1_500);
 /// Time in which an object that a peer knows has to come: the reader's answer and its way here.
 pub const UNSEEN: Span = Span::millis(900);
+/// Time in which the balancer that told of changes after a gap has to answer what came before them.
+pub const GAP: Span = Span::millis(150);
+/// Time after its first listing for which a balancer does not read by itself: within it balancers that
+/// start together find each other, and one of them reads for all.
+pub const SETTLE: Span = Span::millis(1_200);
 
 /// Where a feed stands with the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -64,9 +69,13 @@
     needs_read: bool,
     /// The highest revision that others told of and that was not told whole.
     wanted: u64,
+    /// Since when something is missing before what others told.
+    gap: Option<Time>,
     failures: u32,
     /// When the platform last answered, here or to whoever told it.
     confirmed: Option<Time>,
+    /// Until when no read is begun by the role alone.
+    quiet_until: Time,
     /// When another balancer last told how far its knowledge goes.
     heard: Option<Time>,
     /// The highest revision of the store that is known to be, and since when this feed is behind it.
@@ -93,8 +102,10 @@
             needs_listing: true,
             needs_read: true,
             wanted: 0,
+            gap: None,
             failures: 0,
             confirmed: None,
+            quiet_until: Time::default(),
             heard: None,
             behind: None,
         }
@@ -141,13 +152,13 @@
             Kind::Domain => DOMAIN_PATIENCE,
             _ => PATIENCE,
         };
-        if self
+        let is_over = |since, span| now.since(since) >= span;
+        self.needs_read |= self
             .behind
-            .is_some_and(|(_, since)| now.since(since) >= patience)
-        {
-            self.needs_read = true;
-        }
-        let is_wanted = self.needs_read || role.part == Part::Reader || !self.is_told(now, role);
+            .is_some_and(|(_, since)| is_over(since, patience));
+        self.needs_read |= self.gap.is_some_and(|since| is_over(since, GAP));
+        let is_reader = role.part == Part::Reader || !self.is_told(now, role);
+        let is_wanted = self.needs_read || is_reader && now >= self.quiet_until;
         let is_due = match self.reading {
             Reading::Idle(due) => now >= due && is_wanted,
             // What is needed now does not wait for the end of a watch.
@@ -193,9 +204,13 @@
             return None;
         }
         let change = self.store.apply(objects, since, upto);
+        if !self.is_known() {
+            self.quiet_until = now + SETTLE;
+        }
         self.failures = 0;
         self.needs_listing &= !is_listing;
         self.needs_read = false;
+        self.gap = None;
         self.confirmed = Some(now);
         self.settle();
         self.reading = Reading::Idle(match change.is_empty() {
@@ -237,11 +252,11 @@
         }
         self.heard = Some(now);
         if change.gap {
-            self.needs_read = true;
-            self.wanted = self.wanted.max(upto);
+            self.miss(now, upto);
         } else if self.store.revision() >= self.wanted {
             // Whatever a read of its own was to bring is known now.
             self.confirmed = self.confirmed.max(Some(now - age));
+            self.gap = None;
             self.needs_read = false;
             self.needs_listing = false;
             self.failures = 0;
@@ -250,6 +265,12 @@
         change
     }
 
+    /// Notes that something is missing before what others told up to a revision.
+    pub fn miss(&mut self, now: Time, upto: u64) {
+        self.gap.get_or_insert(now);
+        self.wanted = self.wanted.max(upto);
+    }
+
     /// Takes in that the store has come to a revision.
     fn expect(&mut self, now: Time, revision: u64) {
         if revision <= self.store.revision() {
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -37,9 +37,10 @@
 const PROBE_TIMEOUT: Span = Span::millis(150);
 /// One of this many questions goes to a peer of any failure domain.
 const FAR_ASKS: usize = 3;
-/// Most bytes of objects that are told to each balancer of the domain. Those that need more read it
-/// from the platform: one call each costs less than what a large change would take on their links.
-const OBJECTS_BYTES: usize = 4_000;
+/// Most bytes of objects that are told to each balancer of the domain, some 60 entries of servers.
+/// Those that need more read it from the platform: one call each costs less than what a larger change
+/// would take on their links.
+const OBJECTS_BYTES: usize = 12_000;
 
 /// Makes the membership of a process that starts at `now`.
 pub(crate) fn group(setting: &Setting, now: Time) -> Group {
@@ -78,7 +79,7 @@
         Body::Flows(flows) => flows_of(state, from, &flows, out),
         Body::Objects(told) => {
             for objects in &told {
-                objects_of(state, from, objects, out);
+                objects_of(state, from, peer, objects, out);
             }
         }
         Body::Ask(wants) => answer(state, peer, &wants, out),
@@ -113,7 +114,13 @@
     }
 }
 
-fn objects_of(state: &mut Forwarder, from: Incarnation, told: &Objects, out: &mut Vec<Effect>) {
+fn objects_of(
+    state: &mut Forwarder,
+    from: Incarnation,
+    peer: SocketAddr,
+    told: &Objects,
+    out: &mut Vec<Effect>,
+) {
     let now = state.now;
     let Ok(kind) = conf::object::kind(&told.kind) else {
         return;
@@ -134,12 +141,16 @@
     if objects.len() < told.objects.len() + told.patches.len() {
         // What was told cannot be used without what went before. It may be known already.
         if told.upto > feed.store().revision() {
-            feed.refresh(now);
+            feed.miss(now, told.upto);
+            ask_for(state, kind, peer, out);
         }
         return;
     }
     let before = Before::new(feed);
     let change = feed.hear(now, told.since, told.upto, told.age, &objects);
+    if change.gap {
+        ask_for(state, kind, peer, out);
+    }
     tick::apply(state, kind, change, Some(from), out);
     if change.objects > 0 && state.role.part == Part::Relay {
         tell(state, kind, &before, out);
@@ -209,6 +220,18 @@
     objects.iter().map(|object| encode(object).into()).collect()
 }
 
+/// Asks the peer that told of changes of a kind for what came before them.
+fn ask_for(state: &mut Forwarder, kind: Kind, peer: SocketAddr, out: &mut Vec<Effect>) {
+    let Some(feed) = state.feeds.get(kind) else {
+        return;
+    };
+    let want = Want {
+        kind: kind.name().to_owned(),
+        since: feed.store().revision(),
+    };
+    send(state, peer, Body::Ask(vec![want]), out);
+}
+
 /// Asks a peer for what it knows beyond this balancer, which cannot read the platform.
 pub(crate) fn ask(state: &mut Forwarder, out: &mut Vec<Effect>) {
     let wants: Vec<Want> = state
--- a/crates/forward/tests/all/view.rs
+++ b/crates/forward/tests/all/view.rs
@@ -89,3 +89,39 @@
     world.run(Span::secs(4));
     assert!(!row_is_listed(&world), "the entry stays away");
 }
+
+#[test]
+fn a_start_of_all_takes_a_listing_of_each_kind_and_a_reader_a_domain() {
+    let (domains, balancers) = (4, 60);
+    let mut world = World::new(6, domains, balancers, 150);
+    // Entries are written while the balancers start.
+    for server in 0..100 {
+        world.restart_cold(server);
+        world.run(Span::millis(20));
+    }
+    world.run(Span::secs(3));
+    let listings = (balancers * feed::KINDS.len()) as u64;
+    // Until they agree on one reader there is one in each domain, which asks again after each change.
+    let watches = Span::secs(5).0 / feed::GATHER.0 + Span::secs(5).0 / feed::PULSE_WAIT.0;
+    let most = listings + domains as u64 * watches;
+    let calls = world.store.calls;
+    assert!(calls <= most, "{calls} calls, {most} at most");
+}
+
+#[test]
+fn many_changes_at_once_take_no_calls_of_those_who_are_told() {
+    let mut world = World::new(7, 4, 60, 150);
+    world.run(Span::secs(6));
+    let before = world.store.calls;
+    for server in 0..60 {
+        world.restart_cold(server);
+    }
+    world.run(Span::secs(2));
+    let calls = world.store.calls - before;
+    assert!(calls < 30, "{calls} calls");
+    for balancer in 0..60 {
+        let known = world.reducer(balancer).table().servers();
+        let cold = known.filter(|(_, row)| row.version > 150).count();
+        assert!(cold >= 60, "b{balancer} knows {cold} of 60 changes");
+    }
+}
--- a/crates/shell/src/packets/part.rs
+++ b/crates/shell/src/packets/part.rs
@@ -1,6 +1,6 @@
-//! Frames longer than a datagram, in parts.
+//! Frames longer than a datagram, compressed and in parts.
 //!
-//! A frame whose parts do not all come is lost, like any datagram; whoever needs it asks again.
+//! Entries of servers are much alike, and links of small hosts are narrow. A frame whose parts do not all come is lost, like any datagram; whoever needs it asks again.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -18,6 +18,10 @@
 const PART_BYTES: usize = 1_150;
 /// Most parts of a frame: a routing of 3,000 routes and more.
 pub const PARTS_MAX: usize = 512;
+/// Bytes of the longest frame before it is compressed.
+const WHOLE_BYTES: usize = PARTS_MAX * PART_BYTES * 4;
+/// Bytes in front of a compressed frame: its length before.
+const LENGTH_BYTES: usize = 4;
 /// Parts that are sent in one tick: more at once overrun the socket of a peer that starts.
 pub const TURN: usize = 8;
 /// Parts that wait to be sent, at most.
@@ -31,6 +35,10 @@
     if whole.len() <= DATAGRAM_BYTES {
         return vec![whole];
     }
+    if whole.len() > WHOLE_BYTES {
+        return Vec::new();
+    }
+    let whole = lz4_flex::compress_prepend_size(&whole);
     let count = whole.len().div_ceil(PART_BYTES);
     if count > PARTS_MAX {
         return Vec::new();
@@ -97,7 +105,7 @@
         let whole = self.waiting.remove(&from);
         let parts = whole.into_iter().flat_map(|whole| whole.parts);
         let bytes: Vec<u8> = parts.flatten().flatten().collect();
-        seal::decode(&bytes).map(Some)
+        seal::decode(&unpack(&bytes)?).map(Some)
     }
 
     /// Makes room for a frame, in place of an earlier one of the sender.
@@ -120,3 +128,15 @@
         self.waiting.insert(from, waiting);
     }
 }
+
+/// Returns the bytes that were compressed, unless they claim to be more than any frame.
+fn unpack(bytes: &[u8]) -> Result<Vec<u8>, Code> {
+    let (length, _) = bytes
+        .split_at_checked(LENGTH_BYTES)
+        .ok_or(Code::Malformed)?;
+    let length = u32::from_le_bytes(length.try_into().expect("four bytes"));
+    if length as usize > WHOLE_BYTES {
+        return Err(Code::Malformed);
+    }
+    lz4_flex::decompress_size_prepended(bytes).map_err(|_| Code::Malformed)
+}
--- a/crates/shell/src/packets/run.rs
+++ b/crates/shell/src/packets/run.rs
@@ -87,8 +87,8 @@
         let metric = Arc::new(Metric::new(&setting.forward.name)?);
         let (ask, asks) = mpsc::channel(ASKS);
         let entry = Batch::bind(setting.entry).map_err(fault("entry", setting.entry))?;
-        let peer = setting.forward.peer.datagram;
-        let peers = Batch::bind(peer).map_err(fault("peer", peer))?;
+        let peer = setting.peer_bind;
+        let peers = Batch::bind(peer).map_err(fault("peer-bind", peer))?;
         let admin = Admin::bind(setting.forward.admin, ask, metric.clone()).await?;
         Ok(Shell {
             setting,
--- a/crates/shell/src/packets/setting.rs
+++ b/crates/shell/src/packets/setting.rs
@@ -29,8 +29,10 @@
     pub domain: Option<String>,
     /// Where callers' packets come in. Callers take resets at the same port.
     pub entry: Option<String>,
-    /// Where peers' datagrams come in.
+    /// Where peers reach this balancer.
     pub peer: Option<String>,
+    /// Where peers' datagrams come in, if that is another address.
+    pub peer_bind: Option<String>,
     /// Where the admin pages are served.
     pub admin: Option<String>,
     /// Base URL of the platform.
@@ -54,6 +56,8 @@
 pub struct Setting {
     /// Where callers' packets come in.
     pub entry: SocketAddr,
+    /// Where peers' datagrams come in.
+    pub peer_bind: SocketAddr,
     /// Base URL of the platform, without a slash at the end.
     pub platform: String,
     /// Log filter, in the syntax of `tracing_subscriber::EnvFilter`.
@@ -79,6 +83,7 @@
         fill(&mut self.domain, "WASABI_DOMAIN");
         fill(&mut self.entry, "WASABI_ENTRY");
         fill(&mut self.peer, "WASABI_PEER");
+        fill(&mut self.peer_bind, "WASABI_PEER_BIND");
         fill(&mut self.admin, "WASABI_ADMIN");
         fill(&mut self.platform, "WASABI_PLATFORM");
         fill(&mut self.seeds, "WASABI_SEEDS");
@@ -128,6 +133,8 @@
         let domain = check.name("domain", raw.domain);
         let entry = check.address("entry", raw.entry, None);
         let peer = check.reachable("peer", raw.peer);
+        let peer_bind = raw.peer_bind.or_else(|| Some(peer.to_string()));
+        let peer_bind = check.address("peer-bind", peer_bind, None);
         let admin = check.address("admin", raw.admin, Some("127.0.0.1:0"));
         let platform = check.url("platform", raw.platform);
         let seeds = check.hosts("seeds", raw.seeds, peer.port());
@@ -158,6 +165,7 @@
             .with_grace(Span::millis(grace));
         let setting = Setting {
             entry,
+            peer_bind,
             platform,
             log,
             forward,
@@ -173,6 +181,7 @@
             ("domain", own.domain != other.domain),
             ("entry", self.entry != new.entry),
             ("peer", own.peer != other.peer),
+            ("peer-bind", self.peer_bind != new.peer_bind),
             ("admin", own.admin != other.admin),
             ("platform", self.platform != new.platform),
             ("log", self.log != new.log),
--- a/crates/shell/tests/packets.rs
+++ b/crates/shell/tests/packets.rs
@@ -16,13 +16,17 @@
 use wire::frame::Frame;
 use wire::frame::Objects;
 
+/// Makes a frame whose bytes do not get fewer when they are compressed.
 fn frame(bytes: usize) -> Frame {
+    let object: Vec<u8> = (0..bytes as u64)
+        .map(|at| base::hash::pair(at, 7) as u8)
+        .collect();
     let objects = Objects {
         kind: "Routing".into(),
         since: 0,
         upto: 7,
         age: Span::ZERO,
-        objects: vec![Bytes::from(vec![7; bytes])],
+        objects: vec![Bytes::from(object)],
         patches: Vec::new(),
     };
     Frame {
@@ -69,6 +73,44 @@
     assert_eq!(whole, Some(frame(6_000)));
 }
 
+#[test]
+fn entries_that_are_alike_take_few_datagrams() {
+    let entry = |number: usize| {
+        let text = format!("Server i-{number:010x} domain gl-a pool fitting 10.2.64.{number}:8009");
+        Bytes::from(text.repeat(3))
+    };
+    let mut frame = frame(0);
+    let Body::Objects(told) = &mut frame.body else {
+        panic!("objects are told");
+    };
+    told[0].objects = (0..60).map(entry).collect();
+    let plain: usize = told[0].objects.iter().map(Bytes::len).sum();
+    let datagrams = part::split(&frame, 1);
+    assert!(
+        datagrams.len() * DATAGRAM_BYTES * 2 < plain,
+        "{} datagrams for {plain} bytes",
+        datagrams.len()
+    );
+}
+
+#[test]
+fn a_frame_that_claims_to_be_endless_takes_no_memory() {
+    let part = Frame {
+        from: Incarnation(3),
+        body: Body::Part(wire::frame::Part {
+            frame: 1,
+            index: 0,
+            count: 1,
+            bytes: Bytes::from_static(&[0xff; 40]),
+        }),
+    };
+    let datagram = wire::seal::encode(&part);
+    assert_eq!(
+        Parts::default().take(peer(1), &datagram),
+        Err(Code::Malformed)
+    );
+}
+
 #[test]
 fn senders_without_number_take_no_memory_without_bound() {
     let mut parts = Parts::default();
@@ -109,6 +151,17 @@
     assert_eq!(forward.grace, Span::secs(6));
 }
 
+#[test]
+fn peers_are_heard_where_they_reach_unless_another_address_is_bound() {
+    let read = |text: &str| {
+        let raw = Raw::default().with_file(text).expect("well formed");
+        Setting::new(raw).expect("no faults").peer_bind.to_string()
+    };
+    assert_eq!(read(FILE), "10.0.0.1:7720");
+    let bound = format!("{FILE}\nWASABI_PEER_BIND=127.0.0.1:7721");
+    assert_eq!(read(&bound), "127.0.0.1:7721");
+}
+
 #[test]
 fn a_flag_goes_before_the_file() {
     let raw = Raw {
--- a/crates/wasabid/src/flag.rs
+++ b/crates/wasabid/src/flag.rs
@@ -130,6 +130,12 @@
         "IP:PORT",
         "UDP address for peers, as peers reach it, the same port on all; required",
     );
+    let peer_bind = flag(
+        "peer-bind",
+        "WASABI_PEER_BIND",
+        "IP:PORT",
+        "UDP address to bind for peers where addresses are translated on the way [default: that of --peer]",
+    );
     let admin = admin();
     let platform = platform();
     let seeds = flag(
@@ -173,6 +179,7 @@
         domain,
         entry,
         peer,
+        peer_bind,
         admin,
         platform,
         seeds,
