--- /dev/null
+++ b/crates/soak/src/operator.rs
@@ -0,0 +1,262 @@
+//! Changes of the configuration, and the entries that servers write.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use base::hash;
+use base::prelude::*;
+use conf::object::Kind;
+use conf::raw::Object;
+use conf::raw::Spec;
+use eyre::Result;
+use plat::Client;
+use plat::Error;
+use serde_json::json;
+use tokio::sync::Mutex;
+
+use crate::place;
+use crate::server::Life;
+use crate::server::Server;
+use crate::world::Route;
+use crate::world::World;
+
+/// Pools of servers. Routes lead to them in turn.
+pub const POOLS: usize = 2;
+/// Routes that are there from the start to the end.
+pub const ROUTES: u8 = 4;
+/// Pause before a write that failed is tried again.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Time for which a server that starts during the run is cold.
+pub const COLD: Span = Span::secs(2);
+
+/// Name of the routing.
+const ROUTING: &str = "main";
+
+/// Writes to the platform.
+pub struct Operator {
+    world: World,
+    client: Client,
+    /// Versions of the objects as last written; held while one is written, so that writes of an
+    /// object come one after the other.
+    versions: Mutex<BTreeMap<(Kind, String), u64>>,
+    routing: Mutex<()>,
+}
+
+fn pool_name(pool: usize) -> String {
+    format!("p{pool}")
+}
+
+impl Operator {
+    /// Makes an operator of the platform of a run.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform's address is no URL.
+    pub fn new(world: World) -> Result<Operator> {
+        let client = Client::new(format!("http://{}", world.place.api()));
+        let client = client.map_err(|error| eyre::eyre!("{error}"))?;
+        Ok(Operator {
+            world,
+            client: client.with_timeout(Duration::from_secs(2)),
+            versions: Mutex::new(BTreeMap::new()),
+            routing: Mutex::new(()),
+        })
+    }
+
+    /// Writes an object until the platform has acknowledged it.
+    async fn put(&self, kind: Kind, name: &str, labels: &[(&str, String)], spec: String) {
+        let labels = labels
+            .iter()
+            .map(|(key, value)| (key.to_string(), value.clone()));
+        let object = Object {
+            kind: kind.name().into(),
+            name: name.into(),
+            uid: 0,
+            version: 0,
+            generation: 0,
+            deleted: false,
+            labels: labels.collect(),
+            spec: Spec(spec),
+        };
+        let mut versions = self.versions.lock().await;
+        let version = versions.entry((kind, name.to_owned())).or_default();
+        loop {
+            match self.client.put(&object, *version).await {
+                Ok(stored) => break *version = stored.version,
+                Err(Error::Conflict(stored)) => *version = stored.version,
+                Err(_) => tokio::time::sleep(PAUSE).await,
+            }
+        }
+    }
+
+    async fn delete(&self, kind: Kind, name: &str) {
+        let mut versions = self.versions.lock().await;
+        let Some(mut version) = versions.remove(&(kind, name.to_owned())) else {
+            return;
+        };
+        loop {
+            match self.client.delete(kind, name, version).await {
+                Ok(_) | Err(Error::NotFound) => return,
+                Err(Error::Conflict(stored)) => version = stored.version,
+                Err(_) => tokio::time::sleep(PAUSE).await,
+            }
+        }
+    }
+
+    /// Adds a route and returns once that is acknowledged.
+    pub async fn add_route(&self, route: u8) {
+        let _turn = self.routing.lock().await;
+        let pool = usize::from(route) % POOLS;
+        self.write_routing(|routes| {
+            routes.insert(route, pool);
+        })
+        .await;
+        self.world.with(|state, now| {
+            let added = now;
+            let removed = None;
+            state.routes.insert(
+                route,
+                Route {
+                    pool,
+                    added,
+                    removed,
+                },
+            );
+        });
+    }
+
+    /// Removes a route and returns once that is acknowledged.
+    pub async fn remove_route(&self, route: u8) {
+        let _turn = self.routing.lock().await;
+        // From now on it may be gone for anybody.
+        let far = Time(u64::MAX);
+        self.world.with(|state, _| {
+            if let Some(route) = state.routes.get_mut(&route) {
+                route.removed = Some(far);
+            }
+        });
+        self.write_routing(|routes| {
+            routes.remove(&route);
+        })
+        .await;
+        self.world.with(|state, now| {
+            if let Some(route) = state.routes.get_mut(&route) {
+                route.removed = Some(now);
+            }
+        });
+    }
+
+    async fn write_routing(&self, change: impl FnOnce(&mut BTreeMap<u8, usize>)) {
+        let mut routes: BTreeMap<u8, usize> = self.world.with(|state, _| {
+            let live = state
+                .routes
+                .iter()
+                .filter(|(_, route)| route.removed.is_none());
+            live.map(|(&number, route)| (number, route.pool)).collect()
+        });
+        change(&mut routes);
+        let route = |(&number, &pool): (&u8, &usize)| {
+            let address = self.world.place.service(number);
+            json!({"address": address, "shares": [{"pool": pool_name(pool), "weight": 1}]})
+        };
+        let pool = |pool: usize| json!({"name": pool_name(pool), "cold_per_minute": 120, "cold_ms": COLD.as_millis()});
+        let spec = json!({
+            "routes": routes.iter().map(route).collect::<Vec<_>>(),
+            "pools": (0..POOLS).map(pool).collect::<Vec<_>>(),
+        });
+        self.put(Kind::Routing, ROUTING, &[], spec.to_string())
+            .await;
+    }
+
+    /// Takes a failure domain out, or back in, and returns once that is acknowledged.
+    pub async fn set_out(&self, domain: usize, is_out: bool) {
+        let name = place::domain_name(domain);
+        if !is_out {
+            self.world.with(|state, _| state.out.remove(&domain));
+        }
+        let label = if is_out { "out" } else { "in" };
+        self.put(Kind::Domain, &name, &[("state", label.into())], "{}".into())
+            .await;
+        if is_out {
+            self.world.with(|state, now| state.out.insert(domain, now));
+        }
+    }
+
+    /// Starts a server at an address, cold unless the run has just begun.
+    pub async fn add_server(&self, address: usize, pool: usize, is_cold: bool) -> usize {
+        let server = self.world.with(|state, now| {
+            let server = state.servers.len();
+            let identity = hash::pair(address as u64, server as u64) >> 8;
+            let name = format!("i-{identity:014x}");
+            let mut one = Server::new(name, identity, address, pool);
+            if is_cold {
+                one.cold_until = now + COLD;
+                one.harmed = now;
+            }
+            state.servers.push(one);
+            state.occupants[address] = Some(server);
+            server
+        });
+        self.write_server(server).await;
+        server
+    }
+
+    /// Writes a server's entry.
+    pub async fn write_server(&self, server: usize) {
+        let (one, now) = self
+            .world
+            .with(|state, now| (state.servers[server].clone(), now));
+        let state = match one.life {
+            Life::Draining(_) => "drain",
+            Life::Well | Life::Silent | Life::Ended => "in",
+        };
+        let cold = one.cold_until.since(now).as_millis();
+        let labels = [
+            ("domain", place::domain_name(one.domain)),
+            ("pool", pool_name(one.pool)),
+            ("state", state.to_owned()),
+        ];
+        let spec = json!({
+            "address": self.world.place.server(one.address),
+            "identity": one.identity,
+            "cold_ms": cold,
+        });
+        self.put(Kind::Server, &one.name, &labels, spec.to_string())
+            .await;
+    }
+
+    /// Has a server say that it leaves; the judge counts from the acknowledgement.
+    pub async fn drain(&self, server: usize) {
+        self.world
+            .with(|state, _| state.servers[server].life = Life::Draining(None));
+        self.write_server(server).await;
+        self.world.with(|state, now| {
+            if state.servers[server].life == Life::Draining(None) {
+                state.servers[server].life = Life::Draining(Some(now));
+            }
+        });
+    }
+
+    /// Ends a server and removes its entry.
+    pub async fn end(&self, server: usize) {
+        let name = self.world.with(|state, now| {
+            let one = &mut state.servers[server];
+            one.life = Life::Ended;
+            one.harmed = now;
+            let (address, name) = (one.address, one.name.clone());
+            if state.occupants[address] == Some(server) {
+                state.occupants[address] = None;
+            }
+            name
+        });
+        self.delete(Kind::Server, &name).await;
+    }
+
+    /// Removes the entry of a server that is silent.
+    pub async fn lapse(&self, server: usize) {
+        let name = self
+            .world
+            .with(|state, _| state.servers[server].name.clone());
+        self.delete(Kind::Server, &name).await;
+    }
+}
--- /dev/null
+++ b/crates/soak/src/relay.rs
@@ -0,0 +1,139 @@
+//! Relays that stand between the processes: one for the frames of each balancer's peers, and one for
+//! each balancer's calls to the platform.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::prelude::*;
+use eyre::Result;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::UdpSocket;
+
+use crate::link::Store;
+use crate::place;
+use crate::place::BALANCERS;
+use crate::world::World;
+
+/// Bytes of a datagram, at most.
+const DATAGRAM_BYTES: usize = 2_048;
+/// Bytes that are passed on at a time.
+const CHUNK_BYTES: usize = 16 * 1_024;
+/// Time between two looks at a link that nothing passes.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Passes frames between balancers until the run ends.
+pub async fn frames(world: World) -> Result<()> {
+    let mut sockets = Vec::new();
+    for balancer in 0..BALANCERS {
+        sockets.push(Arc::new(UdpSocket::bind(world.place.peer(balancer)).await?));
+    }
+    let sockets = Arc::new(sockets);
+    for balancer in 0..BALANCERS {
+        tokio::spawn(pass_frames(world.clone(), sockets.clone(), balancer));
+    }
+    Ok(())
+}
+
+async fn pass_frames(world: World, sockets: Arc<Vec<Arc<UdpSocket>>>, to: usize) {
+    let mut buffer = [0; DATAGRAM_BYTES];
+    while let Ok((length, from)) = sockets[to].recv_from(&mut buffer).await {
+        let SocketAddr::V4(from) = from else { continue };
+        let Some(from) = world.place.balancer_of(*from.ip()) else {
+            continue;
+        };
+        let Some(delay) = world.way(place::domain_of(from), place::domain_of(to)) else {
+            continue;
+        };
+        // The receiver answers to the address at which the sender is reached.
+        let (socket, frame) = (sockets[from].clone(), buffer[..length].to_vec());
+        let at = world.place.peer_bind(to);
+        tokio::spawn(async move {
+            if !delay.is_zero() {
+                tokio::time::sleep(delay).await;
+            }
+            // A balancer that is not there hears nothing.
+            let _ = socket.send_to(&frame, at).await;
+        });
+    }
+}
+
+/// Passes a balancer's calls to the platform until the run ends.
+pub async fn calls(world: World, balancer: usize) -> Result<()> {
+    let listener = TcpListener::bind(world.place.store(balancer)).await?;
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(connection(world.clone(), balancer, stream));
+        }
+    });
+    Ok(())
+}
+
+async fn connection(world: World, balancer: usize, near: TcpStream) {
+    let opened = world.now();
+    let Ok(far) = TcpStream::connect(world.place.api()).await else {
+        return;
+    };
+    // Answers are small; without this each waits for an acknowledgement.
+    let _ = (near.set_nodelay(true), far.set_nodelay(true));
+    let (near_in, near_out) = near.into_split();
+    let (far_in, far_out) = far.into_split();
+    let link = Link {
+        world,
+        balancer,
+        opened,
+    };
+    tokio::select! {
+        () = link.pass(near_in, far_out) => (),
+        () = link.pass(far_in, near_out) => (),
+        () = link.reset() => (),
+    }
+}
+
+/// One connection of a balancer to the platform.
+struct Link {
+    world: World,
+    balancer: usize,
+    opened: Time,
+}
+
+impl Link {
+    fn state(&self) -> Store {
+        self.world.with(|state, _| {
+            if self.opened < state.links.silent_before {
+                return Store::Silent;
+            }
+            state.links.stores[self.balancer]
+        })
+    }
+
+    async fn pass(&self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf) {
+        let mut buffer = vec![0; CHUNK_BYTES];
+        while let Ok(length) = from.read(&mut buffer).await {
+            if length == 0 {
+                return;
+            }
+            while self.state() == Store::Silent {
+                tokio::time::sleep(LOOK).await;
+            }
+            if let Store::Slow(delay) = self.state() {
+                tokio::time::sleep(delay).await;
+            }
+            if to.write_all(&buffer[..length]).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Returns once the connection is to be reset.
+    async fn reset(&self) {
+        while self.state() != Store::Reset {
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,207 @@
+//! One run: set up, faults, calm, and what came of it.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::prelude::*;
+use eyre::eyre;
+use eyre::Result;
+use serde::Serialize;
+use stub::platform::Platform;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::caller;
+use crate::caller::Site;
+use crate::fabric;
+use crate::fault::Target;
+use crate::judge::Breach;
+use crate::judge::Promise;
+use crate::operator::Operator;
+use crate::place;
+use crate::place::Place;
+use crate::place::BALANCERS;
+use crate::place::DOMAINS;
+use crate::plan;
+use crate::process::Processes;
+use crate::relay;
+use crate::server;
+use crate::world::Outcome;
+use crate::world::World;
+
+/// Callers of each failure domain.
+const CALLERS: u64 = 12;
+/// One of this many callers keeps its flows open for many requests.
+const LONG: u64 = 3;
+/// Least part of the requests that is served once all has been calm for a while, in percent.
+const SERVED_MIN: usize = 95;
+/// Time of calm before requests count for that.
+const RECOVERY: Span = Span::secs(6);
+/// Longest wait for all balancers to be in rotation at the start.
+const START: Duration = Duration::from_secs(20);
+
+/// What a run is made from.
+#[derive(Clone, Debug)]
+pub struct Setting {
+    /// Seed of the faults and all random choices.
+    pub seed: u64,
+    /// Time in which faults begin.
+    pub span: Span,
+    /// The addresses, so that runs may overlap.
+    pub place: Place,
+    /// The balancer's program.
+    pub program: PathBuf,
+    /// Where logs and settings go.
+    pub folder: PathBuf,
+}
+
+/// What came of a run.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// The seed.
+    pub seed: u64,
+    /// Faults that were injected.
+    pub faults: Vec<String>,
+    /// Requests that were made.
+    pub requests: usize,
+    /// Requests that were answered.
+    pub served: usize,
+    /// Requests that were refused.
+    pub refused: usize,
+    /// Requests whose time passed.
+    pub late: usize,
+    /// Requests made after all recovered, and those of them that were answered.
+    pub calm: (usize, usize),
+    /// Most memory of a process, in KiB.
+    pub memory: u64,
+    /// Lines that the balancers logged.
+    pub lines: u64,
+    /// What broke.
+    pub breaches: Vec<Breach>,
+}
+
+/// Plays a seed.
+///
+/// # Errors
+///
+/// Fails when the run cannot be set up.
+pub async fn play(setting: Setting) -> Result<Report> {
+    let world = World::new(setting.place, setting.seed);
+    let target = set_up(&world, &setting).await?;
+    let begun = Instant::now();
+    let mut tasks = JoinSet::new();
+    let faults = plan::new(setting.seed, setting.span);
+    for (number, &fault) in (0..).zip(&faults) {
+        let target = target.clone();
+        let at = begun + Duration::from_micros(fault.at.0);
+        tasks.spawn(async move {
+            tokio::time::sleep_until(at).await;
+            target.inject(number, fault).await;
+        });
+    }
+    while !tasks.is_empty() {
+        tokio::select! {
+            ended = tasks.join_next() => if let Some(Err(error)) = ended {
+                return Err(eyre!("a fault was not injected: {error}"));
+            },
+            () = tokio::time::sleep(Duration::from_millis(200)) => target.processes.look().await,
+        }
+    }
+    let calm_since = world.now();
+    tokio::time::sleep(Duration::from_micros(plan::CALM.0)).await;
+    target.processes.look().await;
+    let calm = judge_calm(&world, calm_since + RECOVERY);
+    let memory = target.processes.memory().await;
+    target.processes.stop_all().await;
+    let lines = target.processes.check_logs()?;
+    let faults = faults.iter().map(plan::Fault::to_string).collect();
+    Ok(world.with(|state, _| {
+        let count = |wanted| {
+            state
+                .ended
+                .iter()
+                .filter(|one| one.outcome == wanted)
+                .count()
+        };
+        Report {
+            seed: setting.seed,
+            faults,
+            requests: state.ended.len(),
+            served: count(Outcome::Served),
+            refused: count(Outcome::Refused),
+            late: count(Outcome::Late),
+            calm,
+            memory,
+            lines,
+            breaches: state.breaches.clone(),
+        }
+    }))
+}
+
+async fn set_up(world: &World, setting: &Setting) -> Result<Arc<Target>> {
+    let api = std::net::SocketAddr::V4(setting.place.api());
+    let control = std::net::SocketAddr::new(api.ip(), 0);
+    let platform = Platform::start(api, control).await?;
+    relay::frames(world.clone()).await?;
+    for balancer in 0..BALANCERS {
+        relay::calls(world.clone(), balancer).await?;
+    }
+    for address in 0..place::SERVERS {
+        server::serve(world.clone(), address).await?;
+    }
+    let processes = Processes::new(
+        world.clone(),
+        setting.program.clone(),
+        setting.folder.clone(),
+    )?;
+    let target = Arc::new(Target {
+        world: world.clone(),
+        processes,
+        operator: Operator::new(world.clone())?,
+        platform,
+    });
+    target.set_up().await;
+    for balancer in 0..BALANCERS {
+        target.processes.start(balancer).await?;
+        tokio::spawn(fabric::probe(world.clone(), balancer));
+    }
+    let patience = Instant::now() + START;
+    while !world.with(|state, _| state.balancers.iter().all(|one| one.in_rotation)) {
+        if Instant::now() > patience {
+            return Err(eyre!("not all balancers are ready"));
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    for domain in 0..DOMAINS {
+        let site = Site::bind(world.clone(), domain).await?;
+        for number in 0..CALLERS {
+            let id = domain as u64 * CALLERS + number;
+            let is_long = number % LONG == 0;
+            tokio::spawn(caller::call(site.clone(), id, is_long));
+        }
+        tokio::spawn(caller::probe(site));
+    }
+    Ok(target)
+}
+
+/// Judges what callers got once all had recovered; returns how many asked and how many were served.
+fn judge_calm(world: &World, since: Time) -> (usize, usize) {
+    world.with(|state, now| {
+        let asked: Vec<_> = state
+            .ended
+            .iter()
+            .filter(|one| one.asked >= since)
+            .collect();
+        let served = asked
+            .iter()
+            .filter(|one| one.outcome == Outcome::Served)
+            .count();
+        let asked = asked.len();
+        if asked == 0 || served * 100 < asked * SERVED_MIN {
+            let what = format!("{served} of {asked} served after all was calm");
+            state.breach(now, Promise::Service, what);
+        }
+        (asked, served)
+    })
+}
--- /dev/null
+++ b/crates/soak/src/world.rs
@@ -0,0 +1,215 @@
+//! What the tasks of a run share: beliefs of nobody, but what is.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use base::prelude::*;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::time::Instant;
+
+use crate::judge::Breach;
+use crate::link::Links;
+use crate::place;
+use crate::place::Place;
+use crate::place::BALANCERS;
+use crate::place::DOMAINS;
+use crate::server::Server;
+
+/// Datagrams lost at all times, in 10,000: as the users' links lose them.
+const LOSS: u32 = 15;
+
+/// A balancer as the fabric and the judge see it.
+#[derive(Clone, Debug, Default)]
+pub struct Balancer {
+    /// Whether the fabric gives it packets.
+    pub in_rotation: bool,
+    /// Probes that failed in a row.
+    pub misses: u32,
+    /// When it last suffered anything but planned work.
+    pub harmed: Time,
+    /// When planned work on it last began or ended.
+    pub planned: Time,
+    /// Its process was asked to stop, or ended by a fault.
+    pub is_down: bool,
+    /// Numbers the starts of its process.
+    pub start: u32,
+}
+
+/// A route over time.
+#[derive(Clone, Copy, Debug)]
+pub struct Route {
+    /// The pool that it leads to.
+    pub pool: usize,
+    /// When its addition was acknowledged.
+    pub added: Time,
+    /// When its removal was acknowledged.
+    pub removed: Option<Time>,
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was answered.
+    Served,
+    /// All tries were refused, or no further try was allowed.
+    Refused,
+    /// Its time passed.
+    Late,
+}
+
+/// One request that ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Ended {
+    /// When it was made.
+    pub asked: Time,
+    /// How it ended.
+    pub outcome: Outcome,
+}
+
+/// A flow that is open at a server, as its caller knows.
+#[derive(Clone, Copy, Debug)]
+pub struct Open {
+    /// The server.
+    pub server: usize,
+    /// The start of the server that opened it.
+    pub start: u32,
+    /// Packets in a row that reached other servers, and when the first of them did.
+    pub astray: u32,
+    /// When the first of those came.
+    pub astray_since: Time,
+    /// The balancer that took its last packet.
+    pub via: Option<usize>,
+}
+
+/// Everything that is.
+pub struct State {
+    /// Source of all random choices.
+    pub random: ChaCha8Rng,
+    /// The links.
+    pub links: Links,
+    /// When each pair of failure domains, from and to, was last harmed.
+    pub cut_at: [[Time; DOMAINS]; DOMAINS],
+    /// When the platform was last harmed.
+    pub store_harmed: Time,
+    /// The balancers.
+    pub balancers: Vec<Balancer>,
+    /// All servers that ever were.
+    pub servers: Vec<Server>,
+    /// The server at each address.
+    pub occupants: Vec<Option<usize>>,
+    /// The routes, by the last octet of their service address.
+    pub routes: BTreeMap<u8, Route>,
+    /// Failure domains that are out, and since when.
+    pub out: BTreeMap<usize, Time>,
+    /// Flows that callers hold open, by the caller's end.
+    pub open: BTreeMap<std::net::SocketAddrV4, Open>,
+    /// Which server start gave out a number: number, server, start.
+    pub numbers: BTreeMap<u32, (usize, u32)>,
+    /// How often each request ran.
+    pub runs: BTreeMap<u64, u32>,
+    /// Requests that ended.
+    pub ended: Vec<Ended>,
+    /// What broke.
+    pub breaches: Vec<Breach>,
+    next_number: u32,
+}
+
+/// A run's shared state, its clock and its addresses.
+#[derive(Clone)]
+pub struct World {
+    /// The addresses.
+    pub place: Place,
+    start: Instant,
+    state: Arc<Mutex<State>>,
+}
+
+impl World {
+    /// Makes the world of a seed.
+    pub fn new(place: Place, seed: u64) -> World {
+        let state = State {
+            random: ChaCha8Rng::seed_from_u64(seed),
+            links: Links::new(LOSS),
+            cut_at: [[Time::default(); DOMAINS]; DOMAINS],
+            store_harmed: Time::default(),
+            balancers: vec![Balancer::default(); BALANCERS],
+            servers: Vec::new(),
+            occupants: vec![None; place::SERVERS],
+            routes: BTreeMap::new(),
+            out: BTreeMap::new(),
+            open: BTreeMap::new(),
+            numbers: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            ended: Vec::new(),
+            breaches: Vec::new(),
+            next_number: 0,
+        };
+        World {
+            place,
+            start: Instant::now(),
+            state: Arc::new(Mutex::new(state)),
+        }
+    }
+
+    /// Returns the time since the run began. 0 is long ago for everything that happens.
+    pub fn now(&self) -> Time {
+        Time(self.start.elapsed().as_micros() as u64) + Span::secs(1_000)
+    }
+
+    /// Reads or changes the state.
+    pub fn with<T>(&self, f: impl FnOnce(&mut State, Time) -> T) -> T {
+        let now = self.now();
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        f(&mut state, now)
+    }
+
+    /// Returns how long a datagram between two places takes, or `None` when it is lost.
+    pub fn way(&self, from: usize, to: usize) -> Option<Duration> {
+        self.with(|state, _| {
+            if !state.links.is_open(from, to) || state.is_lost() {
+                return None;
+            }
+            let most = state.links.delay.as_micros() as u64;
+            let delay = match most {
+                0 => 0,
+                most => state.random.random_range(0..most),
+            };
+            Some(Duration::from_micros(delay))
+        })
+    }
+}
+
+impl State {
+    /// Draws whether a datagram is lost.
+    pub fn is_lost(&mut self) -> bool {
+        let loss = self.links.loss;
+        self.random.random_range(0..10_000) < loss
+    }
+
+    /// Makes the number by which a server's side of a flow is known.
+    pub fn number(&mut self, server: usize, start: u32) -> u32 {
+        self.next_number += 1;
+        self.numbers.insert(self.next_number, (server, start));
+        self.next_number
+    }
+
+    /// Notes that a balancer is harmed now.
+    pub fn harm(&mut self, balancer: usize, now: Time) {
+        self.balancers[balancer].harmed = now;
+    }
+
+    /// Notes that the ways between two failure domains are harmed now.
+    pub fn harm_way(&mut self, from: usize, to: usize, now: Time) {
+        self.cut_at[from][to] = now;
+        self.cut_at[to][from] = now;
+    }
+
+    /// Returns the pool of a route, if it is there.
+    pub fn pool_of(&self, route: u8) -> Option<usize> {
+        self.routes.get(&route).map(|route| route.pool)
+    }
+}
