Copy a routing only for news of it; let the check carry its time limit

Before, the whole routing was written out at every answer of the pulse and every word of the reader. The time limit of a check stood in two crates; the effect carries it now. Soak: sockets of a run are closed before its addresses are used again.

--- a/crates/forward/src/check.rs
+++ b/crates/forward/src/check.rs
@@ -7,6 +7,7 @@
 
 use crate::count::Kind;
 use crate::effect::Effect;
+use crate::health;
 use crate::note::Note;
 use crate::state::Forwarder;
 
@@ -31,6 +32,7 @@
             name,
             address,
             path: path.unwrap_or_default(),
+            timeout: health::CHECK_TIMEOUT,
         });
     }
 }
--- a/crates/forward/src/effect.rs
+++ b/crates/forward/src/effect.rs
@@ -45,6 +45,8 @@
         address: SocketAddrV4,
         /// What is asked for.
         path: String,
+        /// How long it may take.
+        timeout: Span,
     },
     /// A backend server answered an opening packet.
     Opened {
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -146,7 +146,7 @@
         }
         return;
     }
-    let before = Before::new(feed);
+    let before = Before::new(feed, objects.len());
     let change = feed.hear(now, told.since, told.upto, told.age, &objects);
     if change.gap {
         ask_for(state, kind, peer, out);
@@ -157,7 +157,7 @@
     }
 }
 
-/// What a balancer knew of a kind before it took a change in.
+/// What a balancer knew of a kind before it took a change in: what changes are told against.
 pub(crate) struct Before {
     /// The revision of the last change.
     last_change: u64,
@@ -166,9 +166,11 @@
 }
 
 impl Before {
-    pub(crate) fn new(feed: &Feed) -> Before {
+    /// Notes what is known before `news` objects are taken in. Large objects are copied only where
+    /// there is news that may replace them.
+    pub(crate) fn new(feed: &Feed, news: usize) -> Before {
         let large = match feed.kind() {
-            Kind::Routing => feed.store().listing(),
+            Kind::Routing if news > 0 => feed.store().listing(),
             _ => Vec::new(),
         };
         let (last_change, _) = feed.span();
--- a/crates/forward/src/tick.rs
+++ b/crates/forward/src/tick.rs
@@ -206,7 +206,7 @@
         return;
     };
     let (have, failures) = (feed.store().revision(), feed.failures());
-    let before = peer::Before::new(feed);
+    let before = peer::Before::new(feed, objects.len());
     let Some(change) = feed.answer(now, since, upto, objects) else {
         let got = upto;
         out.push(Effect::Note(Note::Stale { kind, have, got }));
--- a/crates/plat/src/http.rs
+++ b/crates/plat/src/http.rs
@@ -17,8 +17,6 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest time from a call to the end of its answer, beyond what a watch waits.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
-/// Longest time of a check of a server: many times the way to any server and back.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 /// Largest answer, in bytes.
 const ANSWER_MAX: usize = 32 * 1024 * 1024;
 /// Silence of a connection after which it is probed, and pause between two probes: the shortest that
@@ -120,10 +118,15 @@
     }
 
     /// Asks a server outside the platform for a page, and returns the headers of its answer, whatever
-    /// it is.
-    pub async fn check(&self, address: SocketAddr, path: &str) -> Option<HeaderMap> {
+    /// it is, if it comes in time.
+    pub async fn check(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        timeout: Duration,
+    ) -> Option<HeaderMap> {
         let call = self.http.get(format!("http://{address}{path}"));
-        let call = call.header(CONNECTION, "close").timeout(CHECK_TIMEOUT);
+        let call = call.header(CONNECTION, "close").timeout(timeout);
         call.send()
             .await
             .ok()
--- a/crates/plat/src/source.rs
+++ b/crates/plat/src/source.rs
@@ -42,13 +42,14 @@
     /// Lists the balancers that were made known.
     fn balancers(&self) -> impl Future<Output = Result<Vec<Announcement>, Error>> + Send;
 
-    /// Returns whether a backend server answers a check under its name, whatever it says of its
-    /// health, which may be wrong.
+    /// Returns whether a backend server answers a check in time under its name, whatever it says of
+    /// its health, which may be wrong.
     fn check(
         &self,
         address: SocketAddr,
         path: &str,
         name: &str,
+        timeout: Duration,
     ) -> impl Future<Output = bool> + Send;
 }
 
@@ -81,7 +82,7 @@
         Ok(hosts.filter_map(announcement).collect())
     }
 
-    async fn check(&self, address: SocketAddr, path: &str, _name: &str) -> bool {
-        self.http().check(address, path).await.is_some()
+    async fn check(&self, address: SocketAddr, path: &str, _name: &str, timeout: Duration) -> bool {
+        self.http().check(address, path, timeout).await.is_some()
     }
 }
--- a/crates/shell/src/packets/run.rs
+++ b/crates/shell/src/packets/run.rs
@@ -439,7 +439,10 @@
                 name,
                 address,
                 path,
-            } => self.reads.check(server, name, address.into(), path),
+                timeout,
+            } => self
+                .reads
+                .check(server, name, address.into(), path, timeout),
             Effect::Discover => self.reads.discover(),
             Effect::Opened { took } => self.shell.metric.opened(took),
             Effect::Closed { lasted } => self.shell.metric.closed(lasted),
--- a/crates/shell/src/packets/source.rs
+++ b/crates/shell/src/packets/source.rs
@@ -74,10 +74,18 @@
     }
 
     /// Checks whether a backend server answers.
-    pub fn check(&self, server: key::Server, name: String, address: SocketAddr, path: String) {
+    pub fn check(
+        &self,
+        server: key::Server,
+        name: String,
+        address: SocketAddr,
+        path: String,
+        timeout: Span,
+    ) {
         let (source, events) = (self.source.clone(), self.events.clone());
         tokio::spawn(async move {
-            let is_well = source.check(address, &path, &name).await;
+            let timeout = Duration::from_micros(timeout.0);
+            let is_well = source.check(address, &path, &name, timeout).await;
             let event = Event::Checked {
                 server,
                 name,
--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use base::prelude::*;
 use bpaf::construct;
@@ -16,6 +17,9 @@
 use soak::run::Setting;
 use tokio::task::JoinSet;
 
+/// Time in which the tasks of a run end.
+const SHUTDOWN: Duration = Duration::from_secs(5);
+
 /// What is played.
 #[derive(Clone, Debug)]
 struct Args {
@@ -93,7 +97,8 @@
                     .enable_all()
                     .build()?;
                 let result = runtime.block_on(play(&args, seed, slot));
-                runtime.shutdown_background();
+                // Its sockets are closed before the slot is used again.
+                runtime.shutdown_timeout(SHUTDOWN);
                 result
             });
             next += 1;
