--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -27,6 +27,7 @@
     seeds: u64,
     jobs: u8,
     seconds: u64,
+    program: Option<PathBuf>,
     folder: PathBuf,
 }
 
@@ -48,6 +49,10 @@
         .help("time in which faults begin [default: 15]")
         .argument("S")
         .fallback(15);
+    let program = long("program")
+        .help("the balancer's program [default: wasabid beside this one]")
+        .argument("FILE")
+        .optional();
     let folder = long("folder")
         .help("where logs go; those of seeds that break nothing are removed [default: soak in the folder for temporary files]")
         .argument("DIR")
@@ -57,6 +62,7 @@
         seeds,
         jobs,
         seconds,
+        program,
         folder
     })
     .to_options()
@@ -70,7 +76,7 @@
         seed,
         span: Span::secs(args.seconds),
         place: Place::new(slot),
-        program: process::program()?,
+        program: args.program.clone().map_or_else(process::program, Ok)?,
         folder: folder.clone(),
     };
     let report = run::play(setting).await?;
--- /dev/null
+++ b/crates/wasabid/tests/soak.rs
@@ -0,0 +1,47 @@
+//! A short soak of packet forwarding by real processes; the `soak` crate says what is played and judged.
+
+use std::path::PathBuf;
+
+use base::prelude::*;
+use soak::place::Place;
+use soak::run;
+use soak::run::Setting;
+
+/// Time in which faults begin.
+const SPAN: Span = Span::secs(8);
+
+async fn play(seed: u64, slot: u8) {
+    let folder = std::env::temp_dir().join(format!("wasabid-soak-{}-{seed}", std::process::id()));
+    let setting = Setting {
+        seed,
+        span: SPAN,
+        place: Place::new(slot),
+        program: PathBuf::from(env!("CARGO_BIN_EXE_wasabid")),
+        folder: folder.clone(),
+    };
+    let report = run::play(setting).await.expect("the run is set up");
+    assert!(
+        report.breaches.is_empty(),
+        "{report:#?}\nlogs are in {}",
+        folder.display()
+    );
+    assert!(report.served > 0, "callers are served: {report:?}");
+    std::fs::remove_dir_all(folder).expect("the logs are removed");
+}
+
+/// Names each seed and the slot of its addresses.
+macro_rules! seeds {
+    ($($name:ident: $seed:literal at $slot:literal;)*) => {
+        $(
+            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+            async fn $name() {
+                play($seed, $slot).await;
+            }
+        )*
+    };
+}
+
+seeds! {
+    stops_and_a_kill_of_all: 1 at 60;
+    a_replaced_server_and_lost_history: 2 at 61;
+}
