Leave callers to other domains where none here can serve them

Ruled out: flows to servers of the domain that is out. Operators took them out, and a balancer that is cut off cannot know better.

Change: a balancer is not ready while all servers of some pool that take flows are in other domains and silent by a check. The fabric then gives the domain's callers to others, which can reach them.

--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -117,11 +117,31 @@
         self.can_serve() && self.stopping.is_none() && !self.is_isolated()
     }
 
-    /// Returns whether no backend server can be reached: callers are better off elsewhere.
+    /// Returns whether callers are better off with other balancers: no backend server can be reached, or
+    /// none of some pool while other failure domains have some.
     fn is_isolated(&self) -> bool {
         let mut known = self.table.servers().filter(|(_, row)| row.is_known());
         let lost = |(_, row): (key::Server, &table::row::Row)| row.health.is_lost();
-        self.table.servers().next().is_some() && known.all(lost)
+        let is_lost = self.table.servers().next().is_some() && known.all(lost);
+        is_lost || self.table.pools().any(|pool| self.is_elsewhere(pool))
+    }
+
+    /// Returns whether all servers of a pool that take flows are in other failure domains and out of
+    /// reach.
+    fn is_elsewhere(&self, pool: &table::Pool) -> bool {
+        let mut is_any = false;
+        for &server in &pool.servers {
+            let row = self.table.server(server);
+            let domain = self.table.domain(row.domain);
+            if !row.is_listed(self.now) || domain.out.is_some() {
+                continue;
+            }
+            if domain.name == self.setting.domain || !row.health.is_confirmed() {
+                return false;
+            }
+            is_any = true;
+        }
+        is_any
     }
 
     /// Returns whether a planned stop has begun.
--- a/crates/forward/src/table.rs
+++ b/crates/forward/src/table.rs
@@ -108,6 +108,11 @@
         &self.pools[pool]
     }
 
+    /// Returns all pools that were heard of.
+    pub fn pools(&self) -> impl Iterator<Item = &Pool> {
+        self.pools.values()
+    }
+
     /// Returns the backend server that a mark names.
     pub fn find(&self, mark: Mark) -> Option<key::Server> {
         self.marks.get(&mark).copied()
--- a/crates/forward/tests/all/load.rs
+++ b/crates/forward/tests/all/load.rs
@@ -69,6 +69,7 @@
 #[test]
 fn callers_that_cannot_be_served_are_told_at_once() {
     let mut world = World::new(5, 3, 9, 18).with_rate(100.0);
+    world.falls_back = false;
     world.run(Span::secs(4));
     world.set_out(0, true);
     world.run(Span::secs(6));
@@ -89,6 +90,65 @@
     world.assert_rules();
 }
 
+/// Pattern: a domain is out and cut off, and the fabric can give its callers to other domains.
+#[test]
+fn callers_of_a_domain_without_servers_are_left_to_others() {
+    let mut world = World::new(11, 3, 9, 18).with_rate(100.0);
+    world.run(Span::secs(4));
+    world.set_out(0, true);
+    world.run(Span::secs(6));
+    world.cut.insert(0);
+    // Servers fall silent, checks say so, and the fabric notices who is not ready.
+    world.run(Span::millis(2_500));
+    let from = world.now;
+    world.run(Span::secs(3));
+    let asked = world.count(from, |one| one.domain == 0);
+    let served = world.count(from, |one| {
+        one.domain == 0 && matches!(one.outcome, Outcome::Served(_))
+    });
+    assert!(served * 20 > asked * 19, "{served} of {asked} served");
+    world.cut.clear();
+    world.run(Span::secs(4));
+    for balancer in [0, 3, 6] {
+        assert!(world.reducer(balancer).is_ready(), "b{balancer} is back");
+    }
+    world.assert_rules();
+}
+
+/// Pattern: a pool has its servers in one domain, and that domain is cut off from a caller's.
+#[test]
+fn a_domain_that_lacks_a_pool_leaves_callers_to_others() {
+    let mut world = World::new(12, 3, 9, 18).with_rate(60.0);
+    for server in 0..18 {
+        if world.servers[server].domain == 0 {
+            world.drain(server);
+            world.end(server);
+        }
+    }
+    world.run(Span::secs(5));
+    world.cut.insert(0);
+    world.run(Span::millis(2_500));
+    let from = world.now;
+    world.run(Span::secs(3));
+    let asked = world.count(from, |one| one.domain == 0);
+    let served = world.count(from, |one| {
+        one.domain == 0 && matches!(one.outcome, Outcome::Served(_))
+    });
+    assert!(served * 20 > asked * 19, "{served} of {asked} served");
+    world.assert_rules();
+}
+
+/// Pattern: all servers of all domains fall silent: nobody else can serve either.
+#[test]
+fn balancers_without_any_server_stay_for_what_comes() {
+    let mut world = World::new(13, 3, 9, 18).with_rate(60.0);
+    world.run(Span::secs(4));
+    (0..18).for_each(|server| world.darken(server));
+    world.run(Span::millis(1_500));
+    let ready = (0..9).filter(|&one| world.balancers[one].in_rotation);
+    assert!(ready.count() > 0, "some balancer takes packets");
+}
+
 /// Pattern: all balancers are killed at the same moment and start again.
 #[test]
 fn all_balancers_start_again() {
--- a/crates/forward/tests/all/world/mod.rs
+++ b/crates/forward/tests/all/world/mod.rs
@@ -151,6 +151,8 @@
     pub(crate) log: Vec<String>,
     /// Keep the log of decisions, for golden files.
     pub(crate) keep_log: bool,
+    /// Whether the fabric uses other domains' balancers where a domain has none in rotation.
+    pub(crate) falls_back: bool,
 }
 
 /// The service address of all flows.
@@ -201,6 +203,7 @@
             loss: 0,
             log: Vec::new(),
             keep_log: false,
+            falls_back: true,
         };
         for index in 0..servers {
             world.add_server(index % domains, POOL);
--- a/crates/forward/tests/all/world/run.rs
+++ b/crates/forward/tests/all/world/run.rs
@@ -112,10 +112,13 @@
             .copied()
             .filter(|&one| self.balancers[one].in_rotation)
             .collect();
-        let choice = if live.len() * 2 < all.len() {
-            all
-        } else {
-            live
+        let far: Vec<usize> = (0..self.balancers.len())
+            .filter(|&one| self.balancers[one].in_rotation)
+            .collect();
+        let choice = match live.is_empty() {
+            true if self.falls_back && !far.is_empty() => far,
+            _ if live.len() * 2 < all.len() => all,
+            _ => live,
         };
         let end = u64::from(caller.ip().to_bits()) << 16 | u64::from(caller.port());
         choice
