--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -36,8 +36,10 @@
 const DELAY: Duration = Duration::from_millis(150);
 /// Time after which the entry of a silent server goes.
 const LAPSE: Duration = Duration::from_millis(3_000);
-/// Time for which a server that leaves still serves.
-const LEAVE: Duration = Duration::from_millis(4_500);
+/// Time for which a server that leaves still serves: some do for many seconds.
+const LEAVE: Duration = Duration::from_millis(8_000);
+/// Least time for which a failure domain is out, so that what comes late shows.
+const OUT_MIN: Duration = Duration::from_millis(7_000);
 /// Time before an address is used again.
 const REUSE: Duration = Duration::from_millis(2_000);
 /// Changes of a storm.
@@ -107,7 +109,7 @@
             Kind::Restart => self.restart(index).await,
             Kind::Out => {
                 self.operator.set_out(index, true).await;
-                tokio::time::sleep(lasts * 2).await;
+                tokio::time::sleep(OUT_MIN + lasts).await;
                 self.operator.set_out(index, false).await;
                 self.harm_servers(index);
             }
--- a/crates/stub/examples/demo.rs
+++ b/crates/stub/examples/demo.rs
@@ -1,14 +1,17 @@
 //! Shows both deployments in small: requests served, a backend server drained, a failure domain taken
-//! out and brought back. Starts everything as separate processes on loopback and stops by itself.
+//! out and brought back; and beside them balancers that forward packets, under the faults of a seed.
+//! Starts everything as separate processes on loopback and stops by itself.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
+use base::prelude::*;
 use bpaf::Bpaf;
 use eyre::eyre;
 use eyre::Result;
 use eyre::WrapErr;
+use soak::place::Place;
 use stub::backend::Stats;
 use stub::caller;
 use stub::caller::Report;
@@ -28,6 +31,8 @@
 const STEP: Duration = Duration::from_secs(4);
 /// The whole demo ends within this time, if need be with an error.
 const LIMIT: Duration = Duration::from_secs(58);
+/// Time in which faults begin where packets are forwarded.
+const FAULTS: Span = Span::secs(10);
 /// Lines of a page that are shown.
 const EXCERPT: usize = 12;
 
@@ -58,11 +63,12 @@
     let shows = async {
         tokio::try_join!(
             show(Plan::zawadzki().with_seed(options.seed), options),
-            show(Plan::lakeshore().with_seed(options.seed + 1), options)
+            show(Plan::lakeshore().with_seed(options.seed + 1), options),
+            forward(options)
         )
     };
     // Children are killed when the shows are dropped, whichever way this ends.
-    let (zawadzki, lakeshore) = tokio::select! {
+    let (zawadzki, lakeshore, forwarded) = tokio::select! {
         done = shows => done?,
         () = sleep(LIMIT) => return Err(eyre!("the demo took longer than {LIMIT:?}")),
         asked = stub::process::terminated() => {
@@ -73,12 +79,47 @@
     println!("\n{}", Row::head());
     let rows: Vec<Row> = zawadzki.into_iter().chain(lakeshore).collect();
     rows.iter().for_each(|row| println!("{row}"));
-    match rows.iter().all(Row::is_clean) {
+    let soak::run::Report {
+        requests,
+        served,
+        refused,
+        late,
+        breaches,
+        ..
+    } = forwarded;
+    println!(
+        "\nforwarded as packets: {requests} requests, {served} served, {refused} refused, {late} late, {} promises broken",
+        breaches.len()
+    );
+    match rows.iter().all(Row::is_clean) && breaches.is_empty() {
         true => Ok(()),
         false => Err(eyre!("a promise was broken: see the table")),
     }
 }
 
+/// Has nine balancers forward packets, under the faults of a seed.
+async fn forward(options: &Options) -> Result<soak::run::Report> {
+    let name = format!("wasabiarch-demo-{}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
+    let setting = soak::run::Setting {
+        seed: options.seed,
+        span: FAULTS,
+        place: Place::new(soak::place::SLOTS - 1),
+        program: soak::process::program()?,
+        folder: folder.clone(),
+    };
+    println!("[forward] nine balancers, 24 backend servers, callers in 3 failure domains");
+    let report = soak::run::play(setting).await?;
+    for fault in &report.faults {
+        println!("[forward] {fault}");
+    }
+    for breach in &report.breaches {
+        println!("[forward] broken: {breach}");
+    }
+    std::fs::remove_dir_all(folder)?;
+    Ok(report)
+}
+
 /// Runs one deployment from start to stop.
 async fn show(plan: Plan, options: &Options) -> Result<Vec<Row>> {
     let plan = plan.with_time_us(20_000);
