--- a/crates/forward/src/table.rs
+++ b/crates/forward/src/table.rs
@@ -80,6 +80,8 @@
     has_routing: bool,
     /// Revision of the routing in force.
     routing_version: u64,
+    /// Numbers the times that servers were put in force.
+    listing: u64,
 }
 
 impl Table {
@@ -183,32 +185,38 @@
         now: Time,
         objects: impl Iterator<Item = &'a Object>,
     ) -> usize {
-        let mut listed = BTreeSet::new();
-        let mut changes = 0;
+        self.listing += 1;
+        let (mut changes, mut is_moved) = (0, false);
         for object in objects {
             let Body::Server(server) = &object.body else {
                 continue;
             };
-            let Some(key) = self.server_key(object, server) else {
+            let Some((key, is_new)) = self.server_key(object, server) else {
                 continue;
             };
-            listed.insert(key);
+            let before = self.servers[key].place();
+            self.servers[key].listing = self.listing;
             changes += usize::from(self.put_server(now, key, object, server));
+            is_moved |= is_new || self.servers[key].place() != before;
         }
-        let kept: Vec<key::Server> = self.server_names.values().copied().collect();
-        for key in kept {
+        for &key in self.server_names.values() {
             let row = &mut self.servers[key];
-            if listed.contains(&key) {
+            if row.listing == self.listing {
                 continue;
             }
+            let before = row.place();
             match row.standing {
                 Standing::Ready => row.standing = Standing::Missing(now),
                 Standing::Draining => row.standing = Standing::Gone(now),
                 Standing::Missing(_) | Standing::Lapsed(_) | Standing::Gone(_) => continue,
             }
+            is_moved |= row.place() != before;
             changes += 1;
         }
-        self.index();
+        // Most changes are of a server's state, which moves it in no index.
+        if is_moved {
+            self.index();
+        }
         changes
     }
 
@@ -291,16 +299,17 @@
         object: &Object,
         server: &object::Server,
     ) -> bool {
-        let pool = server.pool.as_deref().map(|name| self.pool_key(name));
-        let domain = self.domain_key(&server.domain);
-        let row = &mut self.servers[key];
         let standing = match server.state {
             State::In => Standing::Ready,
             State::Drain | State::Out => Standing::Draining,
         };
+        let row = &self.servers[key];
         if row.version == object.meta.version && row.standing == standing {
             return false;
         }
+        let pool = server.pool.as_deref().map(|name| self.pool_key(name));
+        let domain = self.domain_key(&server.domain);
+        let row = &mut self.servers[key];
         let is_back = !matches!(row.standing, Standing::Ready | Standing::Draining);
         if let SocketAddr::V4(address) = server.address {
             if is_back || row.address != address {
@@ -319,14 +328,19 @@
         true
     }
 
-    /// Returns the key of a listed server, a new one for one that is not known under its identity.
-    fn server_key(&mut self, object: &Object, server: &object::Server) -> Option<key::Server> {
+    /// Returns the key of a listed server, a new one for one that is not known by its name, and whether
+    /// it is new.
+    fn server_key(
+        &mut self,
+        object: &Object,
+        server: &object::Server,
+    ) -> Option<(key::Server, bool)> {
         let name = &object.meta.name;
         let SocketAddr::V4(address) = server.address else {
             return None;
         };
         if let Some(&key) = self.server_names.get(name) {
-            return Some(key);
+            return Some((key, false));
         }
         if self.server_names.len() >= SERVERS_MAX {
             return None;
@@ -347,6 +361,7 @@
             cold_until: Time::default(),
             cold_next: Time::default(),
             is_shadowed: false,
+            listing: 0,
             open: 0,
             health: Health::default(),
         };
@@ -358,7 +373,7 @@
             None => self.servers.push(row),
         };
         self.server_names.insert(name.clone(), key);
-        Some(key)
+        Some((key, true))
     }
 
     /// Brings the indexes level with the servers.
--- a/crates/forward/src/table/row.rs
+++ b/crates/forward/src/table/row.rs
@@ -53,6 +53,8 @@
     pub cold_next: Time,
     /// Another server has its mark, and comes first: no flow is opened here.
     pub is_shadowed: bool,
+    /// The last time that it was listed, by number.
+    pub listing: u64,
     /// Flows that this balancer holds open there.
     pub open: u32,
     /// What unanswered packets say of it.
@@ -68,6 +70,11 @@
         }
     }
 
+    /// Returns where indexes have it: its pool, and whether it is kept there.
+    pub(crate) fn place(&self) -> (Option<key::Pool>, bool) {
+        (self.pool, self.is_known())
+    }
+
     /// Returns whether it may still be there.
     pub fn is_known(&self) -> bool {
         !matches!(self.standing, Standing::Gone(_))
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -101,13 +101,15 @@
         if child.is_some() {
             return Ok(());
         }
+        // A process does not start from wrong settings, and is not meant to.
+        self.write_settings(balancer, "")?;
         let number = self.world.with(|state, _| {
             let one = &mut state.balancers[balancer];
             one.start += 1;
             one.start
         });
         let log = File::create(self.folder.join(format!("b{balancer}-{number}.log")))?;
-        let errors = log.try_clone()?;
+        let errors = File::create(self.folder.join(format!("b{balancer}-{number}.err")))?;
         let process = Command::new(&self.program)
             .args(["forward", "--dialect", "objects", "--settings"])
             .arg(self.settings(balancer))
--- a/crates/wasabid/tests/soak.rs
+++ b/crates/wasabid/tests/soak.rs
@@ -7,14 +7,11 @@
 use soak::run;
 use soak::run::Setting;
 
-/// Time in which faults begin.
-const SPAN: Span = Span::secs(8);
-
-async fn play(seed: u64, slot: u8) {
+async fn play(seed: u64, slot: u8, span: Span) {
     let folder = std::env::temp_dir().join(format!("wasabid-soak-{}-{seed}", std::process::id()));
     let setting = Setting {
         seed,
-        span: SPAN,
+        span,
         place: Place::new(slot),
         program: PathBuf::from(env!("CARGO_BIN_EXE_wasabid")),
         folder: folder.clone(),
@@ -29,19 +26,22 @@
     std::fs::remove_dir_all(folder).expect("the logs are removed");
 }
 
-/// Names each seed and the slot of its addresses.
+/// Names each seed, the seconds in which its faults begin, and the slot of its addresses.
 macro_rules! seeds {
-    ($($name:ident: $seed:literal at $slot:literal;)*) => {
+    ($($(#[doc = $cause:literal])? $name:ident: $seed:literal for $secs:literal at $slot:literal;)*) => {
         $(
+            $(#[doc = $cause])?
             #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
             async fn $name() {
-                play($seed, $slot).await;
+                play($seed, $slot, Span::secs($secs)).await;
             }
         )*
     };
 }
 
 seeds! {
-    stops_and_a_kill_of_all: 1 at 60;
-    a_replaced_server_and_lost_history: 2 at 61;
+    stops_and_a_kill_of_all: 1 for 8 at 60;
+    a_replaced_server_and_lost_history: 2 for 8 at 61;
+    /// Failed once: the soak itself started a process while its settings file was wrong.
+    a_restart_while_settings_change: 100 for 15 at 62;
 }
