Take a server that is back from a confirmed silence as cold on every balancer

A server started again under its name while the platform was down.

Also: packets held for want of slots have a code of their own, E312.

--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -100,6 +100,8 @@
     FlowOut = 310,
     /// Dropped: every backend server that could take the flow is cold or unproven.
     FlowHeld = 311,
+    /// Dropped: a copy of an opening packet came while every backend server had its slots taken.
+    SlotsTaken = 312,
 
     /// The object has an unknown kind.
     UnknownKind = 400,
--- a/crates/forward/src/note.rs
+++ b/crates/forward/src/note.rs
@@ -37,10 +37,12 @@
         /// Age of what is known of backend servers; `None` while nothing is.
         age: Option<Span>,
     },
-    /// An opening packet was dropped, since all that could take it are cold: the caller sends a copy.
+    /// An opening packet was dropped: the caller's next one finds a server, or is refused.
     Held {
         /// The flow.
         flow: Id,
+        /// Why.
+        code: Code,
         /// Copies that the caller sent before.
         copies: u32,
     },
@@ -196,7 +198,7 @@
         match self {
             Note::Request { flow, server, .. } => write!(f, "{flow}: request to {server}"),
             Note::Refused { flow, code, .. } => write!(f, "{flow}: refused, {code}"),
-            Note::Held { flow, copies } => write!(f, "{flow}: held, copy {copies}"),
+            Note::Held { flow, code, copies } => write!(f, "{flow}: held, copy {copies}, {code}"),
             Note::Moved { flow, from, to, .. } => write!(f, "{flow}: {from} is silent, now {to}"),
             Note::Expired { flow, server, .. } => write!(f, "{flow}: quiet at {server}"),
             Note::GaveUp { flow, server } => write!(f, "{flow}: reset, {server} is lost"),
--- a/crates/forward/src/open.rs
+++ b/crates/forward/src/open.rs
@@ -49,17 +49,18 @@
     };
     match pick {
         Pick::Server(server, basis) => begin(state, id, server, basis),
-        Pick::Busy => hold(state, id, head.ack, out),
-        Pick::Later if head.ack < LAST_COPY => hold(state, id, head.ack, out),
+        Pick::Busy => hold(state, id, head.ack, Code::SlotsTaken, out),
+        Pick::Later if head.ack < LAST_COPY => hold(state, id, head.ack, Code::FlowHeld, out),
         Pick::Later | Pick::Never => refuse(state, id, Code::NoServer, out),
     }
 }
 
 /// Drops an opening packet: the caller's next one finds a server, or is refused.
-fn hold(state: &mut Forwarder, id: Id, copies: u32, out: &mut Vec<Effect>) -> Verdict {
+fn hold(state: &mut Forwarder, id: Id, copies: u32, code: Code, out: &mut Vec<Effect>) -> Verdict {
     state.counts.add(Kind::Held);
-    out.push(Effect::Note(Note::Held { flow: id, copies }));
-    Verdict::Drop(Code::FlowHeld)
+    let flow = id;
+    out.push(Effect::Note(Note::Held { flow, code, copies }));
+    Verdict::Drop(code)
 }
 
 fn begin(state: &mut Forwarder, id: Id, server: key::Server, basis: Basis) -> Verdict {
--- a/crates/forward/src/pass.rs
+++ b/crates/forward/src/pass.rs
@@ -51,9 +51,16 @@
         flow.phase = Phase::Open;
         let took = now.since(flow.sent);
         let row = state.table.server_mut(server);
+        let was_confirmed = row.health.is_confirmed();
         if row.health.answer(now) {
-            let server = row.name.clone();
-            out.push(Effect::Note(Note::Answered { server, by: None }));
+            let name = row.name.clone();
+            if was_confirmed {
+                state.table.suspect_cold(server, now);
+            }
+            out.push(Effect::Note(Note::Answered {
+                server: name,
+                by: None,
+            }));
         }
         out.push(Effect::Opened { took });
     }
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -106,10 +106,14 @@
             continue;
         };
         let row = state.table.server_mut(server);
+        let was_confirmed = row.health.is_confirmed();
         if row.health.trust(now) {
-            let server = row.name.clone();
+            let name = row.name.clone();
+            if was_confirmed {
+                state.table.suspect_cold(server, now);
+            }
             let by = Some(from);
-            out.push(Effect::Note(Note::Answered { server, by }));
+            out.push(Effect::Note(Note::Answered { server: name, by }));
         }
     }
 }
--- a/crates/forward/tests/all/promise.rs
+++ b/crates/forward/tests/all/promise.rs
@@ -96,6 +96,14 @@
         }
         world.run(Span::secs(4));
     };
+    /// The same while the store is down, so that nobody hears of the start: only the silence tells of it.
+    promise_03_cold_restart_unheard: small, |world| {
+        world.store.down_until = world.now + Span::secs(8);
+        for server in 0..3 {
+            world.crash(server);
+        }
+        world.run(Span::secs(6));
+    };
     /// The same while views of who lives differ: a domain is cut off, balancers come and go.
     promise_03_cold_with_views_that_differ: small, |world| {
         world.kill(0, Span::secs(2));
--- a/crates/shell/src/packets/trace.rs
+++ b/crates/shell/src/packets/trace.rs
@@ -99,11 +99,11 @@
             routing,
             servers_age_ms = age.map(Span::as_millis),
         ),
-        Note::Held { flow, copies } => tracing::info!(
+        Note::Held { flow, code, copies } => tracing::info!(
             event = "flow-held",
             caller = %flow.caller,
             service = %flow.service,
-            code = %Code::FlowHeld,
+            code = %code,
             copies,
         ),
         Note::Moved {
--- a/crates/soak/tests/parts.rs
+++ b/crates/soak/tests/parts.rs
@@ -159,7 +159,7 @@
         opening => [Promise::Drain];
     a_flow_at_a_server_that_began_to_leave: |state, now| state.servers[0].life = Life::Draining(Some(ago(now, 2))),
         opening => [];
-    a_flow_into_a_domain_that_is_out: |state, now| drop(state.out.insert(0, ago(now, 6))),
+    a_flow_into_a_domain_that_is_out: |state, now| state.out.extend([(0, ago(now, 6))]),
         opening => [Promise::Out];
     a_flow_by_a_balancer_that_is_not_in_touch: |state, now| {
         state.out.insert(0, ago(now, 6));
@@ -179,7 +179,7 @@
     a_flow_reset: |_, _| (), reset => [Promise::Flow];
     a_flow_reset_whose_server_started_again: |state, _| state.servers[0].start = 1, reset => [];
     a_flow_reset_whose_server_was_silent: |state, now| state.servers[0].harmed = now, reset => [];
-    a_flow_reset_while_its_domain_is_out: |state, now| drop(state.out.insert(0, now)), reset => [];
+    a_flow_reset_while_its_domain_is_out: |state, now| state.out.extend([(0, now)]), reset => [];
     a_flow_led_astray: |_, _| (), astray => [Promise::Flow];
     a_flow_led_astray_after_a_cut: |state, now| state.harm_way(0, 1, now), astray => [];
 }
--- a/crates/wasabid/tests/soak.rs
+++ b/crates/wasabid/tests/soak.rs
@@ -44,4 +44,7 @@
     a_replaced_server_and_lost_history: 2 for 8 at 61;
     /// Failed once: the soak itself started a process while its settings file was wrong.
     a_restart_while_settings_change: 100 for 15 at 62;
+    /// Failed once: a server started again cold while the platform was down, and balancers that only
+    /// heard of its silence and return from a peer took it as warm.
+    a_cold_start_that_nobody_hears_of: 110 for 15 at 59;
 }
