--- a/crates/wasabid/tests/soak.rs
+++ b/crates/wasabid/tests/soak.rs
@@ -28,9 +28,9 @@
 
 /// Names each seed, the seconds in which its faults begin, and the slot of its addresses.
 macro_rules! seeds {
-    ($($(#[doc = $cause:literal])? $name:ident: $seed:literal for $secs:literal at $slot:literal;)*) => {
+    ($($(#[doc = $cause:literal])* $name:ident: $seed:literal for $secs:literal at $slot:literal;)*) => {
         $(
-            $(#[doc = $cause])?
+            $(#[doc = $cause])*
             #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
             async fn $name() {
                 play($seed, $slot, Span::secs($secs)).await;
