--- a/crates/forward/tests/all/promise.rs
+++ b/crates/forward/tests/all/promise.rs
@@ -36,6 +36,13 @@
     world
 }
 
+/// The fabric moves nearly all flows at each change of its rotation.
+fn moving(seed: u64) -> World {
+    let mut world = lossy(seed);
+    world.moves_all = true;
+    world
+}
+
 fn served(world: &World) -> usize {
     world.count(crate::world::START, |one| {
         matches!(one.outcome, Outcome::Served(_))
@@ -59,6 +66,16 @@
         world.run(Span::secs(4));
         assert_eq!(not_served(world, from), 0, "a request was lost to planned work");
     };
+    /// The same where the fabric moves nearly all flows each time.
+    promise_01_rolling_replacement_moving_all: moving, |world| {
+        let from = world.now;
+        for balancer in 0..9 {
+            world.stop(balancer);
+            world.run(Span::millis(1_500));
+        }
+        world.run(Span::secs(4));
+        assert_eq!(not_served(world, from), 0, "a request was lost to planned work");
+    };
     /// An established flow survives servers that leave and come.
     promise_01_servers_replaced: small, |world| {
         let from = world.now;
--- a/crates/forward/tests/all/world/mod.rs
+++ b/crates/forward/tests/all/world/mod.rs
@@ -153,6 +153,8 @@
     pub(crate) log: Vec<String>,
     /// Keep the log of decisions, for golden files.
     pub(crate) keep_log: bool,
+    /// Whether the fabric moves nearly all flows when a balancer joins or leaves the rotation.
+    pub(crate) moves_all: bool,
     /// Whether the fabric uses other domains' balancers where a domain has none in rotation.
     pub(crate) falls_back: bool,
 }
@@ -205,6 +207,7 @@
             loss: 0,
             log: Vec::new(),
             keep_log: false,
+            moves_all: false,
             falls_back: true,
         };
         for index in 0..servers {
--- a/crates/forward/tests/all/world/run.rs
+++ b/crates/forward/tests/all/world/run.rs
@@ -121,6 +121,10 @@
             _ => live,
         };
         let end = u64::from(caller.ip().to_bits()) << 16 | u64::from(caller.port());
+        if self.moves_all && !choice.is_empty() {
+            let at = base::hash::pair(end, 0) % choice.len() as u64;
+            return Some(choice[at as usize]);
+        }
         choice
             .into_iter()
             .max_by_key(|&one| base::hash::pair(end, one as u64))
--- a/crates/shell/tests/packets.rs
+++ b/crates/shell/tests/packets.rs
@@ -55,6 +55,20 @@
         prop_assert_eq!(whole, [frame]);
     }
 
+    #[test]
+    fn settings_of_any_kind_are_read_or_refused(
+        lines in prop::collection::vec("(WASABI_[A-Z_]{3,12}|#|) ?(=|) ?[ -~]{0,24}", 0..12),
+        value in "[ -~]{0,30}",
+    ) {
+        let names = ["NAME", "ENTRY", "PEER", "PEER_BIND", "SEEDS", "COLD_OVERAGE", "GRACE_MS", "LOG"];
+        let known = names.map(|name| format!("WASABI_{name}={value}"));
+        for text in [lines.join("\n"), known.join("\n"), value] {
+            if let Ok(raw) = Raw::default().with_file(&text) {
+                let _ = Setting::new(raw);
+            }
+        }
+    }
+
     #[test]
     fn datagrams_of_any_kind_are_taken_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
         let _ = Parts::default().take(peer(1), &bytes);
