--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -5,9 +5,7 @@
 use std::time::Duration;
 
 use base::prelude::*;
-use bpaf::construct;
-use bpaf::long;
-use bpaf::Parser;
+use bpaf::Bpaf;
 use eyre::Result;
 use soak::place::Place;
 use soak::place::SLOTS;
@@ -20,63 +18,37 @@
 /// Time in which the tasks of a run end.
 const SHUTDOWN: Duration = Duration::from_secs(5);
 
-/// What is played.
-#[derive(Clone, Debug)]
-struct Args {
+/// Plays seeds of the soak: balancer processes on loopback, with faults from outside.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options)]
+struct Options {
+    /// First seed [default: 1]
+    #[bpaf(argument("N"), fallback(1))]
     seed: u64,
+    /// Number of seeds [default: 1]
+    #[bpaf(argument("COUNT"), fallback(1))]
     seeds: u64,
+    /// Runs at a time, 9 processes each [default: 1]
+    #[bpaf(argument("COUNT"), guard(|&jobs| (1..=SLOTS).contains(&jobs), "from 1 to 64"), fallback(1))]
     jobs: u8,
+    /// Time in which faults begin, in seconds [default: 15]
+    #[bpaf(argument("S"), fallback(15))]
     seconds: u64,
+    /// The balancer's program [default: wasabid beside this one]
+    #[bpaf(argument("FILE"))]
     program: Option<PathBuf>,
+    /// Folder for logs; those of seeds that break nothing are removed [default: one for temporary files]
+    #[bpaf(argument("DIR"), fallback(std::env::temp_dir().join("soak")))]
     folder: PathBuf,
 }
 
-fn args() -> Args {
-    let seed = long("seed")
-        .help("first seed [default: 1]")
-        .argument("N")
-        .fallback(1);
-    let seeds = long("seeds")
-        .help("number of seeds [default: 1]")
-        .argument("COUNT")
-        .fallback(1);
-    let jobs = long("jobs")
-        .help("runs at a time, 9 processes each [default: 1]")
-        .argument::<u8>("COUNT")
-        .guard(|&jobs| jobs > 0 && jobs <= SLOTS, "from 1 to 64")
-        .fallback(1);
-    let seconds = long("seconds")
-        .help("time in which faults begin [default: 15]")
-        .argument("S")
-        .fallback(15);
-    let program = long("program")
-        .help("the balancer's program [default: wasabid beside this one]")
-        .argument("FILE")
-        .optional();
-    let folder = long("folder")
-        .help("where logs go; those of seeds that break nothing are removed [default: soak in the folder for temporary files]")
-        .argument("DIR")
-        .fallback(std::env::temp_dir().join("soak"));
-    construct!(Args {
-        seed,
-        seeds,
-        jobs,
-        seconds,
-        program,
-        folder
-    })
-    .to_options()
-    .descr("Plays seeds of the soak: balancer processes on loopback, with faults from outside.")
-    .run()
-}
-
-async fn play(args: &Args, seed: u64, slot: u8) -> Result<(Report, u8)> {
-    let folder = args.folder.join(seed.to_string());
+async fn play(options: &Options, seed: u64, slot: u8) -> Result<(Report, u8)> {
+    let folder = options.folder.join(seed.to_string());
     let setting = Setting {
         seed,
-        span: Span::secs(args.seconds),
+        span: Span::secs(options.seconds),
         place: Place::new(slot),
-        program: args.program.clone().map_or_else(process::program, Ok)?,
+        program: options.program.clone().map_or_else(process::program, Ok)?,
         folder: folder.clone(),
     };
     let report = run::play(setting).await?;
@@ -88,37 +60,30 @@
 
 #[tokio::main]
 async fn main() -> Result<ExitCode> {
-    let args = args();
-    let mut next = args.seed;
-    let mut free: Vec<u8> = (0..args.jobs).collect();
+    let options = options().run();
+    let mut next = options.seed;
+    let mut free: Vec<u8> = (0..options.jobs).collect();
     let mut runs = JoinSet::new();
-    let mut broken = 0;
+    let mut is_broken = false;
     loop {
-        while let (true, Some(slot)) = (next < args.seed + args.seeds, free.pop()) {
-            let (args, seed) = (args.clone(), next);
-            // Tasks of a run end with its own runtime.
+        while let (true, Some(slot)) = (next < options.seed + options.seeds, free.pop()) {
+            let (options, seed) = (options.clone(), next);
+            // Tasks of a run end with its own runtime, and its sockets are closed before the slot is
+            // used again.
             runs.spawn_blocking(move || {
-                let runtime = tokio::runtime::Builder::new_multi_thread()
-                    .worker_threads(2)
-                    .enable_all()
-                    .build()?;
-                let result = runtime.block_on(play(&args, seed, slot));
-                // Its sockets are closed before the slot is used again.
+                let runtime = tokio::runtime::Runtime::new()?;
+                let result = runtime.block_on(play(&options, seed, slot));
                 runtime.shutdown_timeout(SHUTDOWN);
                 result
             });
             next += 1;
         }
         let Some(ended) = runs.join_next().await else {
-            break;
+            return Ok(ExitCode::from(u8::from(is_broken)));
         };
         let (report, slot) = ended??;
-        broken += usize::from(!report.breaches.is_empty());
+        is_broken |= !report.breaches.is_empty();
         println!("{}", serde_json::to_string(&report)?);
         free.push(slot);
     }
-    Ok(match broken {
-        0 => ExitCode::SUCCESS,
-        _ => ExitCode::FAILURE,
-    })
 }
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -17,15 +19,15 @@
 
 use crate::fabric;
 use crate::judge::Promise;
-use crate::packet::Packet;
-use crate::packet::ACK;
-use crate::packet::FIN;
-use crate::packet::RST;
-use crate::packet::SYN;
 use crate::server;
 use crate::world::Ended;
 use crate::world::Outcome;
 use crate::world::World;
+use stub::packet::Packet;
+use stub::packet::ACK;
+use stub::packet::FIN;
+use stub::packet::RST;
+use stub::packet::SYN;
 
 /// When copies of an opening packet follow, and when the try ends, each after the one before.
 const OPENING: [Duration; 3] = [
@@ -37,6 +39,8 @@
 const AGAIN: Duration = Duration::from_millis(200);
 /// Longest wait before data is sent again.
 const AGAIN_MAX: Duration = Duration::from_millis(1_600);
+/// Port of the first flow.
+const FIRST_PORT: u16 = 1_024;
 /// Tries of a request.
 const TRIES: u32 = 3;
 /// Time that a request has.
@@ -45,6 +49,8 @@
 const PAUSE_MS: std::ops::Range<u64> = 40..400;
 /// Requests of a long flow.
 const LONG: u32 = 20;
+/// Time between two probes of routes that changed.
+const PROBE: Duration = Duration::from_millis(100);
 /// Bytes of a datagram, at most.
 const DATAGRAM_BYTES: usize = 2_048;
 /// Packets that wait for a caller.
@@ -59,7 +65,7 @@
     domain: usize,
     socket: Arc<UdpSocket>,
     boxes: Boxes,
-    next_port: Arc<Mutex<u16>>,
+    next_port: Arc<AtomicU16>,
 }
 
 /// One flow.
@@ -92,20 +98,14 @@
             domain,
             socket,
             boxes: Boxes::default(),
-            next_port: Arc::new(Mutex::new(1_024)),
+            next_port: Arc::new(AtomicU16::new(FIRST_PORT)),
         };
         tokio::spawn(hear(site.clone()));
         Ok(site)
     }
 
     fn flow(&self, service: SocketAddrV4) -> Flow {
-        let mut next = self
-            .next_port
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        *next = next.checked_add(1).unwrap_or(1_024);
-        let port = *next;
-        drop(next);
+        let port = self.next_port.fetch_add(1, Ordering::Relaxed);
         let (sender, inbox) = mpsc::channel(INBOX);
         self.boxes().insert(port, sender);
         Flow {
@@ -330,9 +330,8 @@
 
 /// Asks for routes that were just added or removed, as the operators' own probes do.
 pub async fn probe(site: Site) {
-    let mut last = Time::default();
     loop {
-        tokio::time::sleep(Duration::from_millis(100)).await;
+        tokio::time::sleep(PROBE).await;
         let route = site.world.with(|state, now| {
             let recent = state.routes.iter().filter(|(_, route)| {
                 let changed = route.removed.unwrap_or(route.added);
@@ -345,7 +344,6 @@
             Some(recent[state.random.random_range(0..recent.len())])
         });
         let Some(route) = route else { continue };
-        last = last.max(site.world.now());
         let mut flow = site.flow(site.world.place.service(route));
         if site.open(&mut flow).await {
             site.end(&mut flow).await;
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -9,8 +9,8 @@
 use stub::platform::Faults;
 use stub::platform::Outage;
 use stub::platform::Platform;
+use tokio::task::JoinSet;
 
-use crate::link::Store;
 use crate::operator::Operator;
 use crate::operator::COLD;
 use crate::operator::POOLS;
@@ -22,6 +22,7 @@
 use crate::plan::Kind;
 use crate::process::Processes;
 use crate::server::Life;
+use crate::world::Store;
 use crate::world::World;
 
 /// Time after which a process that was killed starts again.
@@ -76,13 +77,12 @@
             }
             Kind::Kill => self.kill(index).await,
             Kind::KillAll => {
-                let kills = (0..BALANCERS).map(|one| {
+                let mut kills = JoinSet::new();
+                for one in 0..BALANCERS {
                     let target = self.clone();
-                    tokio::spawn(async move { target.kill(one).await })
-                });
-                for kill in kills.collect::<Vec<_>>() {
-                    kill.await.expect("a kill does not panic");
+                    kills.spawn(async move { target.kill(one).await });
                 }
+                kills.join_all().await;
             }
             Kind::Pause => self.pause(index, lasts).await,
             Kind::PauseStop => self.pause_and_stop(index, lasts).await,
@@ -111,7 +111,11 @@
                 self.operator.set_out(index, true).await;
                 tokio::time::sleep(OUT_MIN + lasts).await;
                 self.operator.set_out(index, false).await;
-                self.harm_servers(index);
+                self.world.with(|state, now| {
+                    let servers = state.servers.iter_mut();
+                    let own = servers.filter(|one| one.domain == index);
+                    own.for_each(|one| one.harmed = now);
+                });
             }
             Kind::AddRoute => self.operator.add_route(FIRST_ROUTE + number).await,
             Kind::RemoveRoute => {
@@ -182,6 +186,7 @@
             "WASABI_GRACE_MS=nothing",
             "no setting",
             "WASABI_OUT_AFTER_MS=2500",
+            "",
         ];
         for line in lines {
             if let Err(error) = self.processes.write_settings(balancer, line) {
@@ -190,9 +195,6 @@
             self.processes.signal(balancer, Signal::HUP).await;
             tokio::time::sleep(lasts / 4).await;
         }
-        if let Err(error) = self.processes.write_settings(balancer, "") {
-            eprintln!("settings of balancer {balancer}: {error:#}");
-        }
     }
 
     fn harm(&self, balancer: usize) {
@@ -364,16 +366,6 @@
         self.operator.write_server(server).await;
     }
 
-    fn harm_servers(&self, domain: usize) {
-        self.world.with(|state, now| {
-            for one in &mut state.servers {
-                if one.domain == domain {
-                    one.harmed = now;
-                }
-            }
-        });
-    }
-
     /// Makes what is there at the start.
     pub async fn set_up(&self) {
         for route in 1..=ROUTES {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,8 +8,6 @@
 //! callers go on and what callers and servers see is judged.
 //!
 //! - `place`: addresses of a run.
-//! - `packet`: packets as callers and servers write and read them.
-//! - `link`: the state of links.
 //! - `world`: what the tasks of a run share.
 //! - `judge`: what must not happen.
 //! - `server`, `caller`, `fabric`, `relay`: the tasks.
@@ -23,9 +21,7 @@
 pub mod fabric;
 pub mod fault;
 pub mod judge;
-pub mod link;
 pub mod operator;
-pub mod packet;
 pub mod place;
 pub mod plan;
 pub mod process;
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -112,16 +112,8 @@
         })
         .await;
         self.world.with(|state, now| {
-            let added = now;
-            let removed = None;
-            state.routes.insert(
-                route,
-                Route {
-                    pool,
-                    added,
-                    removed,
-                },
-            );
+            let added = Route::new(pool, now);
+            state.routes.insert(route, added);
         });
     }
 
@@ -251,12 +243,4 @@
         });
         self.delete(Kind::Server, &name).await;
     }
-
-    /// Removes the entry of a server that is silent.
-    pub async fn lapse(&self, server: usize) {
-        let name = self
-            .world
-            .with(|state, _| state.servers[server].name.clone());
-        self.delete(Kind::Server, &name).await;
-    }
 }
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -216,12 +216,6 @@
         most
     }
 
-    /// Stops all balancers at the same moment.
-    pub async fn stop_all(&self) {
-        let stops = (0..BALANCERS).map(|balancer| self.stop(balancer, || false));
-        join(stops.collect()).await;
-    }
-
     /// Checks that each log line is JSON.
     ///
     /// # Errors
@@ -256,19 +250,6 @@
     }
 }
 
-/// Waits for all of some futures at the same time.
-async fn join(futures: Vec<impl std::future::Future<Output = ()>>) {
-    let mut futures: Vec<_> = futures.into_iter().map(Box::pin).collect();
-    std::future::poll_fn(|context| {
-        futures.retain_mut(|one| one.as_mut().poll(context).is_pending());
-        match futures.is_empty() {
-            true => std::task::Poll::Ready(()),
-            false => std::task::Poll::Pending,
-        }
-    })
-    .await;
-}
-
 /// Returns the most memory that a process had, in KiB.
 fn peak(id: u32) -> Option<u64> {
     let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
--- a/crates/soak/src/relay.rs
+++ b/crates/soak/src/relay.rs
@@ -15,9 +15,9 @@
 use tokio::net::TcpStream;
 use tokio::net::UdpSocket;
 
-use crate::link::Store;
 use crate::place;
 use crate::place::BALANCERS;
+use crate::world::Store;
 use crate::world::World;
 
 /// Bytes of a datagram, at most.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -113,7 +113,12 @@
     target.processes.look().await;
     let calm = judge_calm(&world, calm_since + RECOVERY);
     let memory = target.processes.memory().await;
-    target.processes.stop_all().await;
+    let mut stops = JoinSet::new();
+    for balancer in 0..BALANCERS {
+        let target = target.clone();
+        stops.spawn(async move { target.processes.stop(balancer, || false).await });
+    }
+    stops.join_all().await;
     let lines = target.processes.check_logs()?;
     let faults = faults.iter().map(plan::Fault::to_string).collect();
     Ok(world.with(|state, _| {
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -19,16 +19,16 @@
 
 use crate::judge::Promise;
 use crate::judge::IN_TOUCH;
-use crate::packet::Packet;
-use crate::packet::ACK;
-use crate::packet::FIN;
-use crate::packet::NAME_BYTES;
-use crate::packet::RST;
-use crate::packet::SYN;
 use crate::place;
 use crate::world::Open;
 use crate::world::State;
 use crate::world::World;
+use stub::packet::Packet;
+use stub::packet::ACK;
+use stub::packet::FIN;
+use stub::packet::NAME_BYTES;
+use stub::packet::RST;
+use stub::packet::SYN;
 
 /// Requests that a server runs at a time.
 const SLOTS: usize = 2;
@@ -94,8 +94,13 @@
     is_over: bool,
 }
 
+/// A request that is run, or waits for its turn.
 #[derive(Clone, Debug)]
 struct Work {
+    server: usize,
+    /// The start of the server that took it.
+    start: u32,
+    span: Duration,
     caller: SocketAddrV4,
     service: SocketAddrV4,
     seq: u32,
@@ -223,16 +228,13 @@
 /// What a server does next.
 enum Next {
     Say(Packet),
-    Work(usize, u32, Work, Duration),
+    Work(Work),
 }
 
 async fn act(world: &World, socket: &Arc<UdpSocket>, next: Option<Next>) {
     match next {
         Some(Next::Say(packet)) => say(world, socket, &packet).await,
-        Some(Next::Work(server, start, work, span)) => {
-            let (world, socket) = (world.clone(), socket.clone());
-            tokio::spawn(run(world, socket, server, start, work, span));
-        }
+        Some(Next::Work(work)) => drop(tokio::spawn(run(world.clone(), socket.clone(), work))),
         None => (),
     }
 }
@@ -246,22 +248,15 @@
     let _ = socket.send_to(&packet.encode(), to).await;
 }
 
-async fn run(
-    world: World,
-    socket: Arc<UdpSocket>,
-    server: usize,
-    start: u32,
-    mut work: Work,
-    mut span: Duration,
-) {
+async fn run(world: World, socket: Arc<UdpSocket>, mut work: Work) {
     loop {
-        tokio::time::sleep(span).await;
-        let (answer, next) = world.with(|state, now| finish(state, now, server, start, &work));
+        tokio::time::sleep(work.span).await;
+        let (answer, next) = world.with(|state, now| finish(state, now, &work));
         if let Some(answer) = answer {
             say(&world, &socket, &answer).await;
         }
-        let Some((next, time)) = next else { return };
-        (work, span) = (next, time);
+        let Some(next) = next else { return };
+        work = next;
     }
 }
 
@@ -269,6 +264,13 @@
     Packet::new(flags, packet.to, packet.from)
 }
 
+/// Breaks a flow off; the number says which server did.
+fn reset(packet: &Packet, server: usize) -> Next {
+    let number = u32::try_from(server).expect("a run has few servers");
+    let reset = reply(RST, packet).with_numbers(number, 0, packet.token);
+    Next::Say(reset.with_sum())
+}
+
 fn take(
     state: &mut State,
     now: Time,
@@ -292,13 +294,10 @@
     if let Some(open) = state.open.get_mut(&packet.from) {
         open.via = via;
     }
+    state.judge_astray(now, packet.from, server, route);
     if !state.servers[server].flows.contains_key(&packet.from) {
-        state.judge_astray(now, packet.from, server, route);
-        let number = u32::try_from(server).expect("a run has few servers");
-        let reset = reply(RST, packet).with_numbers(number, 0, packet.token);
-        return (packet.flags & RST == 0).then(|| Next::Say(reset.with_sum()));
+        return (packet.flags & RST == 0).then(|| reset(packet, server));
     }
-    state.judge_astray(now, packet.from, server, route);
     let one = &mut state.servers[server];
     let flow = one.flows.get_mut(&packet.from)?;
     flow.token = packet.token;
@@ -312,9 +311,7 @@
         return Some(Next::Say(end.with_sum()));
     }
     if flow.is_over && !packet.data.is_empty() {
-        let number = u32::try_from(server).expect("a run has few servers");
-        let reset = reply(RST, packet).with_numbers(number, 0, packet.token);
-        return Some(Next::Say(reset.with_sum()));
+        return Some(reset(packet, server));
     }
     if !flow.is_open && packet.ack == flow.number {
         flow.is_open = true;
@@ -336,13 +333,17 @@
         return answer_packet(one, packet.from, packet.to, seq, answer?).map(Next::Say);
     }
     flow.last = Some((packet.seq, None));
+    let span = Duration::from_millis(state.random.random_range(WORK_MS));
     let work = Work {
+        server,
+        start: state.servers[server].start,
+        span,
         caller: packet.from,
         service: packet.to,
         seq: packet.seq,
         data: packet.data.clone(),
     };
-    accept(state, now, server, work)
+    accept(state, now, work)
 }
 
 fn open(
@@ -375,11 +376,11 @@
     Some(answer.with_sum())
 }
 
-fn accept(state: &mut State, now: Time, server: usize, work: Work) -> Option<Next> {
-    let one = &mut state.servers[server];
+fn accept(state: &mut State, now: Time, work: Work) -> Option<Next> {
+    let one = &mut state.servers[work.server];
     if one.running < SLOTS {
-        let (server, start, work, span) = begin(state, now, server, work);
-        return Some(Next::Work(server, start, work, span));
+        begin(state, now, &work);
+        return Some(Next::Work(work));
     }
     if one.waiting.len() < QUEUE {
         one.waiting.push_back(work);
@@ -391,12 +392,10 @@
     answer_packet(one, work.caller, work.service, work.seq, text).map(Next::Say)
 }
 
-fn begin(state: &mut State, now: Time, server: usize, work: Work) -> (usize, u32, Work, Duration) {
-    let span = Duration::from_millis(state.random.random_range(WORK_MS));
-    let one = &mut state.servers[server];
+fn begin(state: &mut State, now: Time, work: &Work) {
+    let one = &mut state.servers[work.server];
     one.running += 1;
     one.run += 1;
-    let start = one.start;
     if let Some(request) = once(&work.data) {
         let runs = state.runs.entry(request).or_default();
         *runs += 1;
@@ -405,18 +404,11 @@
             state.breach(now, Promise::Twice, what);
         }
     }
-    (server, start, work, span)
 }
 
-fn finish(
-    state: &mut State,
-    now: Time,
-    server: usize,
-    start: u32,
-    work: &Work,
-) -> (Option<Packet>, Option<(Work, Duration)>) {
-    let one = &mut state.servers[server];
-    if one.start != start || one.life == Life::Ended {
+fn finish(state: &mut State, now: Time, work: &Work) -> (Option<Packet>, Option<Work>) {
+    let one = &mut state.servers[work.server];
+    if one.start != work.start || one.life == Life::Ended {
         return (None, None);
     }
     one.running -= 1;
@@ -428,11 +420,11 @@
         true => answer_packet(one, work.caller, work.service, work.seq, text),
         false => None,
     };
-    let Some(next) = one.waiting.pop_front() else {
-        return (answer, None);
-    };
-    let (_, _, next, span) = begin(state, now, server, next);
-    (answer, Some((next, span)))
+    let next = one.waiting.pop_front();
+    if let Some(next) = &next {
+        begin(state, now, next);
+    }
+    (answer, next)
 }
 
 /// Makes the packet of an answer. A server that leaves closes each flow with its answer.
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -1,6 +1,7 @@
 //! What the tasks of a run share: beliefs of nobody, but what is.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -13,7 +14,6 @@
 use tokio::time::Instant;
 
 use crate::judge::Breach;
-use crate::link::Links;
 use crate::place;
 use crate::place::Place;
 use crate::place::BALANCERS;
@@ -23,6 +23,53 @@
 /// Datagrams lost at all times, in 10,000: as the users' links lose them.
 const LOSS: u32 = 15;
 
+/// How a balancer's link to the platform is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Store {
+    /// Well.
+    #[default]
+    Well,
+    /// Slow by this much each way.
+    Slow(Duration),
+    /// Nothing passes, and nothing says so.
+    Silent,
+    /// Connections are reset.
+    Reset,
+}
+
+/// The links of a run.
+#[derive(Clone, Debug)]
+pub struct Links {
+    /// Each balancer's link to the platform.
+    pub stores: [Store; BALANCERS],
+    /// Connections to the platform that were opened before then are silent for good.
+    pub silent_before: Time,
+    /// Pairs of failure domains, from and to, between which nothing passes.
+    pub cut: BTreeSet<(usize, usize)>,
+    /// Datagrams lost, in 10,000.
+    pub loss: u32,
+    /// Longest delay of datagrams between balancers.
+    pub delay: Duration,
+}
+
+impl Links {
+    /// Makes links that are well, with the loss that a datagram always meets.
+    pub fn new(loss: u32) -> Links {
+        Links {
+            stores: [Store::Well; BALANCERS],
+            silent_before: Time::default(),
+            cut: BTreeSet::new(),
+            loss,
+            delay: Duration::ZERO,
+        }
+    }
+
+    /// Returns whether anything passes from one failure domain to another.
+    pub fn is_open(&self, from: usize, to: usize) -> bool {
+        !self.cut.contains(&(from, to))
+    }
+}
+
 /// A balancer as the fabric and the judge see it.
 #[derive(Clone, Debug, Default)]
 pub struct Balancer {
@@ -51,6 +98,18 @@
     pub removed: Option<Time>,
 }
 
+impl Route {
+    /// Makes a route that is there since `added`.
+    pub fn new(pool: usize, added: Time) -> Route {
+        let removed = None;
+        Route {
+            pool,
+            added,
+            removed,
+        }
+    }
+}
+
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/crates/soak/tests/parts.rs
+++ b/crates/soak/tests/parts.rs
@@ -5,9 +5,6 @@
 use platform::head::Packets;
 use proptest::prelude::*;
 use soak::judge::Promise;
-use soak::packet::Packet;
-use soak::packet::ACK;
-use soak::packet::SYN;
 use soak::place::Place;
 use soak::plan;
 use soak::server::Life;
@@ -16,6 +13,9 @@
 use soak::world::Route;
 use soak::world::State;
 use soak::world::World;
+use stub::packet::Packet;
+use stub::packet::ACK;
+use stub::packet::SYN;
 
 const ROUTE: u8 = 1;
 
@@ -88,15 +88,9 @@
             let name = format!("i-{address}");
             state.servers.push(Server::new(name, 1, address, pool));
         }
-        let (added, removed) = (now - Span::secs(60), None);
-        state.routes.insert(
-            ROUTE,
-            Route {
-                pool,
-                added,
-                removed,
-            },
-        );
+        state
+            .routes
+            .insert(ROUTE, Route::new(pool, now - Span::secs(60)));
         prepare(state, now);
         act(state, now);
         state.breaches.iter().map(|breach| breach.promise).collect()
--- a/crates/stub/src/lib.rs
+++ b/crates/stub/src/lib.rs
@@ -4,6 +4,7 @@
 //! - `backend`: an HTTP/1.1 backend server with slots, cold start and faults.
 //! - `fabric`: sends each datagram to a random balancer.
 //! - `caller`: opens flows and makes CoAP requests on them.
+//! - `packet`: packets of flows as callers and servers write and read them.
 //! - `fleet`: a deployment as separate processes on loopback.
 //! - `body`: request and answer bodies that both ends can work out.
 //! - `process`: what a stand-in that runs as a process needs.
@@ -17,5 +18,6 @@
 pub mod fabric;
 pub mod fleet;
 pub mod http;
+pub mod packet;
 pub mod platform;
 pub mod process;
--- a/crates/wasabid/tests/forward.rs
+++ b/crates/wasabid/tests/forward.rs
@@ -15,6 +15,10 @@
 
 use conf::raw;
 use plat::Client;
+use stub::packet::Packet;
+use stub::packet::ACK;
+use stub::packet::RST;
+use stub::packet::SYN;
 use stub::platform::Platform;
 
 const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
@@ -25,23 +29,10 @@
 /// Longest wait for anything.
 const PATIENCE: Duration = Duration::from_secs(10);
 
-const SYN: u8 = 64;
-const ACK: u8 = 16;
-const RST: u8 = 1;
-
-fn packet(flags: u8, token: &[u8], service: SocketAddrV4, data: &[u8]) -> Vec<u8> {
-    let mut packet = vec![flags];
-    packet.extend((data.len() as u16).to_be_bytes());
-    packet.extend(1u32.to_be_bytes());
-    packet.extend(0u32.to_be_bytes());
-    packet.extend(token);
-    packet.extend(40_001u16.to_be_bytes());
-    packet.extend(service.ip().octets());
-    packet.extend(CALLER.octets());
-    packet.extend(service.port().to_be_bytes());
-    packet.extend([0xa1, 0xb2, 0xc3, 0xd5]);
-    packet.extend(data);
-    packet
+fn packet(flags: u8, token: u32, service: SocketAddrV4, data: &[u8]) -> Vec<u8> {
+    let packet = Packet::new(flags, SocketAddrV4::new(CALLER, 40_001), service);
+    let packet = packet.with_numbers(1, 0, token).with_data(data.to_vec());
+    packet.with_sum().encode()
 }
 
 fn socket(address: SocketAddr) -> UdpSocket {
@@ -158,7 +149,7 @@
     balancer.event("start");
     assert_eq!(balancer.event("ready")["is_ready"], true);
 
-    let opening = packet(SYN, &[0; 4], SERVICE, b"");
+    let opening = packet(SYN, 0, SERVICE, b"");
     caller.send_to(&opening, balancer_at).expect("sent");
     let taken = recv(&server);
     assert_eq!(
@@ -166,16 +157,16 @@
         IDENTITY.to_be_bytes(),
         "the server's own name in front"
     );
-    let token = taken[8 + 11..8 + 15].to_vec();
-    assert_ne!(token, [0; 4]);
+    let token = Packet::decode(&taken[8..]).expect("a packet").token;
+    assert_ne!(token, 0);
     assert_eq!(
         taken[8..],
-        packet(SYN, &token, SERVICE, b""),
+        packet(SYN, token, SERVICE, b""),
         "nothing else changed"
     );
 
     let data = b"GET / HTTP/1.1\r\nX-Request-Id: a32d01\r\n\r\n";
-    let request = packet(ACK, &token, SERVICE, data);
+    let request = packet(ACK, token, SERVICE, data);
     caller.send_to(&request, balancer_at).expect("sent");
     assert_eq!(recv(&server)[8..], request);
     let line = balancer.event("request");
@@ -185,7 +176,7 @@
     );
 
     let nowhere = SocketAddrV4::new(*SERVICE.ip(), 444);
-    let stray = packet(SYN, &[0; 4], nowhere, b"");
+    let stray = packet(SYN, 0, nowhere, b"");
     caller.send_to(&stray, balancer_at).expect("sent");
     let reset = recv(&caller);
     assert_eq!((reset.len(), reset[0]), (31, RST));
