Never send a whole listing to a balancer that can read the platform

Balancers that start together list at slightly different revisions; whoever listed earlier asked the teller for what came between, at each word, and a teller whose own listing is later does not know that: it sent all entries, every time.

Change: a gap is asked for once, and answered by changes or not at all; the asker then reads the platform. Whoever cannot read the platform is sent all as before.

--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -266,9 +266,18 @@
     }
 
     /// Notes that something is missing before what others told up to a revision.
-    pub fn miss(&mut self, now: Time, upto: u64) {
+    ///
+    /// Returns whether nothing was missing before.
+    pub fn miss(&mut self, now: Time, upto: u64) -> bool {
+        let is_new = self.gap.is_none();
         self.gap.get_or_insert(now);
         self.wanted = self.wanted.max(upto);
+        is_new
+    }
+
+    /// Returns whether something is missing before what others told.
+    pub fn has_gap(&self) -> bool {
+        self.gap.is_some()
     }
 
     /// Takes in that the store has come to a revision.
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -145,16 +145,16 @@
     if objects.len() < told.objects.len() + told.patches.len() {
         // What was told cannot be used without what went before. It may be known already.
         if told.upto > feed.store().revision() {
-            feed.miss(now, told.upto);
-            ask_for(state, kind, peer, out);
+            let is_new = feed.miss(now, told.upto);
+            ask_for(state, kind, peer, is_new, out);
         }
         return;
     }
     let before = Before::new(feed, objects.len());
+    let had_gap = feed.has_gap();
     let change = feed.hear(now, told.since, told.upto, told.age, &objects);
-    if change.gap {
-        ask_for(state, kind, peer, out);
-    }
+    let is_new = !had_gap && feed.has_gap();
+    ask_for(state, kind, peer, is_new, out);
     tick::apply(state, kind, change, Some(from), out);
     if change.objects > 0 && state.role.part == Part::Relay {
         tell(state, kind, &before, out);
@@ -226,14 +226,21 @@
     objects.iter().map(|object| encode(object).into()).collect()
 }
 
-/// Asks the peer that told of changes of a kind for what came before them.
-fn ask_for(state: &mut Forwarder, kind: Kind, peer: SocketAddr, out: &mut Vec<Effect>) {
-    let Some(feed) = state.feeds.get(kind) else {
+/// Asks the peer that told of changes of a kind for what came before them, once for each gap.
+fn ask_for(
+    state: &mut Forwarder,
+    kind: Kind,
+    peer: SocketAddr,
+    is_new: bool,
+    out: &mut Vec<Effect>,
+) {
+    let Some(feed) = state.feeds.get(kind).filter(|_| is_new) else {
         return;
     };
     let want = Want {
         kind: kind.name().to_owned(),
         since: feed.store().revision(),
+        is_cut_off: false,
     };
     send(state, peer, Body::Ask(vec![want]), out);
 }
@@ -247,6 +254,7 @@
         .map(|feed| Want {
             kind: feed.kind().name().to_owned(),
             since: feed.store().revision(),
+            is_cut_off: true,
         })
         .collect();
     let peers = peers(state);
@@ -292,7 +300,9 @@
         };
         let (since, objects) = match changed {
             Some(changed) => (want.since, changed),
-            None => (0, feed.store().listing()),
+            None if want.is_cut_off => (0, feed.store().listing()),
+            // One call of the platform costs less than all objects do on the links between.
+            None => continue,
         };
         let told = Objects {
             objects: encode(&objects),
--- a/crates/forward/tests/all/world/mod.rs
+++ b/crates/forward/tests/all/world/mod.rs
@@ -150,6 +150,8 @@
     next_port: u32,
     /// Part of datagrams that are lost, in 10,000.
     pub(crate) loss: u32,
+    /// Objects that balancers told each other.
+    pub(crate) told: usize,
     pub(crate) log: Vec<String>,
     /// Keep the log of decisions, for golden files.
     pub(crate) keep_log: bool,
@@ -205,6 +207,7 @@
             domains,
             next_port: 0,
             loss: 0,
+            told: 0,
             log: Vec::new(),
             keep_log: false,
             moves_all: false,
--- a/crates/forward/tests/all/world/run.rs
+++ b/crates/forward/tests/all/world/run.rs
@@ -221,6 +221,10 @@
             Effect::Read { kind, since, wait } => self.read(balancer, kind, since, wait),
             Effect::Send { to, frame } => {
                 let to = balancer_at(to);
+                if let wire::frame::Body::Objects(told) = &frame.body {
+                    let objects = told.iter().map(|told| told.objects.len());
+                    self.told += objects.sum::<usize>();
+                }
                 let Some(there) = self.balancers.get(to).map(|one| one.domain) else {
                     return;
                 };
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -123,13 +123,15 @@
     pub checks: u8,
 }
 
-/// What a balancer that cannot read the platform wants to know of a kind.
+/// What a balancer wants to know of a kind.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Want {
     /// Name of the kind.
     pub kind: String,
     /// The revision that it knows; 0 when it knows nothing.
     pub since: u64,
+    /// It cannot read the platform, so that all objects are wanted where the changes are not known.
+    pub is_cut_off: bool,
 }
 
 /// A part of an encoded frame.
