--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -35,6 +35,9 @@
 const PROBE_PERIOD: Span = Span::millis(400);
 /// How long a probe is waited for.
 const PROBE_TIMEOUT: Span = Span::millis(150);
+/// From one attempt at an address in the settings to the next, after a start: balancers that start
+/// together find each other, and hear of loads, in a fraction of a second.
+const JOIN: Span = Span::millis(100);
 /// One of this many questions goes to a peer of any failure domain.
 const FAR_ASKS: usize = 3;
 /// Most bytes of objects that are told to each balancer of the domain, some 60 entries of servers.
@@ -46,7 +49,9 @@
 pub(crate) fn group(setting: &Setting, now: Time) -> Group {
     let (name, domain) = (setting.name.clone(), setting.domain.clone());
     let me = Member::new(name, domain, setting.peer, setting.admin, now);
-    let period = member::Setting::default().with_period(PROBE_PERIOD, PROBE_TIMEOUT);
+    let period = member::Setting::default()
+        .with_period(PROBE_PERIOD, PROBE_TIMEOUT)
+        .with_join(JOIN);
     let mut group = Group::new(me, period);
     let seeds = member::Event::Candidates(setting.seeds.clone());
     // Nothing is to be sent before the first tick, which probes the candidates.
--- a/crates/member/src/setting.rs
+++ b/crates/member/src/setting.rs
@@ -28,8 +28,7 @@
     pub hold_doublings: u32,
     /// From one attempt at a candidate address that does not answer to the next attempt at one.
     pub retry: Span,
-    /// The same within `sync` of joining or coming back: balancers that start together find each other
-    /// in a fraction of a second.
+    /// The same within `sync` of joining or coming back.
     pub join: Span,
     /// Addresses that are tried in one period when they are new, and balancers that one which started
     /// within `sync` pings in a period besides its probe.
@@ -56,7 +55,7 @@
             hold: Span::secs(1),
             hold_doublings: 6,
             retry: Span::secs(1),
-            join: Span::millis(100),
+            join: Span::secs(1),
             fanout: 3,
             forget: Span::secs(600),
             members: 4096,
@@ -73,6 +72,12 @@
         self
     }
 
+    /// Returns this with another pause between attempts at addresses after a start.
+    pub fn with_join(mut self, join: Span) -> Setting {
+        self.join = join;
+        self
+    }
+
     /// Returns how long a suspicion lasts in a group of `size`.
     pub fn suspicion_in(&self, size: usize) -> Span {
         Span(self.suspicion.0 * u64::from(doublings(size)))
--- a/crates/member/src/watch.rs
+++ b/crates/member/src/watch.rs
@@ -194,7 +194,6 @@
             };
             if !self.is_known(address) {
                 self.try_address(now, address, out);
-                self.next_retry = now + self.retry_pause(now);
                 tried += 1;
             }
         }
--- a/crates/member/tests/all/life.rs
+++ b/crates/member/tests/all/life.rs
@@ -350,6 +350,7 @@
 #[test]
 fn a_balancer_finds_an_address_that_answers_soon_after_its_start() {
     let mut world = nine(21);
+    world.setting = world.setting.clone().with_join(Span::millis(100));
     world.kill(8);
     world.net.loss = 1000;
     world.start(8);
