--- a/review/stand_in.rs
+++ b/review/stand_in.rs
@@ -501,6 +501,8 @@
     is_dark: AtomicBool,
     /// The paths from all balancers are cut: their packets and checks do not arrive.
     is_cut: AtomicBool,
+    /// When its slow start ends.
+    cold_until: AtomicU64,
     /// The path to the store is cut.
     is_store_cut: AtomicBool,
     incarnation: AtomicU32,
@@ -545,6 +547,7 @@
             log,
             is_dark: AtomicBool::new(false),
             is_cut: AtomicBool::new(false),
+            cold_until: AtomicU64::new(0),
             is_store_cut: AtomicBool::new(false),
             incarnation: AtomicU32::new(1),
             lose_openings: AtomicU32::new(0),
@@ -566,8 +569,8 @@
 
     fn entry(&self) -> String {
         format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"maxConcurrency\":{},\"state\":\"ready\",\"warmupLeftMs\":0,\"sequence\":1,\"born\":{}}}",
-            self.service, self.at, ZONES[self.zone], self.slots, 1_790_000_000_000_u64 + u64::from(self.incarnation.load(Ordering::Relaxed))
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"maxConcurrency\":{},\"state\":\"ready\",\"warmupLeftMs\":{},\"sequence\":1,\"born\":{}}}",
+            self.service, self.at, ZONES[self.zone], self.slots, self.cold_until.load(Ordering::Relaxed).saturating_sub(self.log.now()), 1_790_000_000_000_u64 + u64::from(self.incarnation.load(Ordering::Relaxed))
         )
     }
 
