forward: test of a server whose entry the store removed

Change: a test in the simulation, which now notices opening packets at servers whose entry has been gone for longer than the drain time-out.

--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod health;
 mod hostile;
 mod load;
+mod overload;
 mod patch;
 mod promise;
 mod replication;
--- a/crates/forward/tests/all/sim/server.rs
+++ b/crates/forward/tests/all/sim/server.rs
@@ -73,6 +73,8 @@
     pub(crate) runs: usize,
     /// The number of requests that it has refused because its queue was full.
     pub(crate) shed: usize,
+    /// When the store removed its entry.
+    pub(crate) removed_at: Option<Time>,
 }
 
 /// The phase of a flow at its server.
@@ -136,6 +138,7 @@
             cold_flow_times: VecDeque::new(),
             runs: 0,
             shed: 0,
+            removed_at: None,
         });
         self.write_server(index);
         index
@@ -147,6 +150,14 @@
         self.write_server(server);
     }
 
+    /// Removes the entry of a server that keeps serving, as the store does when the server cannot
+    /// renew it.
+    pub(crate) fn remove_entry(&mut self, server: usize) {
+        self.servers[server].removed_at = Some(self.now);
+        let name = self.servers[server].name.clone();
+        self.remove_object(conf::object::Kind::Server, &name);
+    }
+
     /// Terminates a drained server and removes its entry.
     pub(crate) fn terminate_server(&mut self, server: usize) {
         self.servers[server].status = Status::Stopped;
@@ -266,7 +277,7 @@
         }
     }
 
-    fn check_opening(&mut self, server: usize, head: &Head, _via: usize) {
+    fn check_opening(&mut self, server: usize, head: &Head, via: usize) {
         let state = &self.servers[server];
         let is_new = !state.flows.contains_key(&head.caller);
         if state.pool != POOL && head.service == super::SERVICE {
@@ -277,6 +288,12 @@
                 self.violations.insert(Violation::DrainExpired(server));
             }
         }
+        if state
+            .removed_at
+            .is_some_and(|at| self.now.since(at) > DRAIN_TIMEOUT && self.reaches_store(via))
+        {
+            self.violations.insert(Violation::DrainExpired(server));
+        }
         let out = self.out_since.get(&state.domain);
         if out.is_some_and(|&since| self.now.since(since) > DOMAIN_OUT_TIMEOUT) {
             self.violations.insert(Violation::DomainOut(server));
--- a/crates/forward/tests/all/sim/store.rs
+++ b/crates/forward/tests/all/sim/store.rs
@@ -101,6 +101,7 @@
 
     /// Writes the current entry of a server.
     pub(crate) fn write_server(&mut self, server: usize) {
+        self.servers[server].removed_at = None;
         let current = &self.servers[server];
         let state = match current.status {
             Status::Draining(_) => State::Drain,
@@ -232,6 +233,16 @@
         self.schedule(wait, task);
     }
 
+    /// Returns whether a balancer's reads of the store are answered.
+    pub(super) fn reaches_store(&self, balancer: usize) -> bool {
+        let domain = self.balancers[balancer].domain;
+        let is_cut = self.partitioned.contains(&domain) || self.egress_blocked.contains(&domain);
+        !is_cut
+            && self.now >= self.store.down_until
+            && !self.store.rejected_balancers.contains(&balancer)
+            && !self.store.unanswered_balancers.contains(&balancer)
+    }
+
     /// Discards the history of changes, so that reads from earlier revisions fail.
     pub(crate) fn truncate_history(&mut self) {
         self.store.history_floor = self.store.revision;
