forward: use lapsed servers only without the store

Cause: Selector::select_lapsed took any server of the own domain that had lapsed, also when the balancer reaches the store and knows that it is gone.

--- a/crates/forward/src/select.rs
+++ b/crates/forward/src/select.rs
@@ -109,7 +109,8 @@
 
     /// Selects a server of the local domain whose entry has lapsed. Every eligible server has
     /// failed a check, which suggests that the local domain is partitioned from the platform and
-    /// its servers cannot renew their entries.
+    /// its servers cannot renew their entries. None is selected while this balancer reaches the
+    /// store: then the server is gone.
     fn select_lapsed(&self, pool: key::Pool) -> Selection {
         let servers = self.table.pool(pool).servers.iter().copied();
         let lapsed: Vec<key::Server> = servers.filter(|&server| self.is_lapsed(server)).collect();
@@ -131,7 +132,8 @@
         let row = self.table.server(server);
         let domain = self.table.domain(row.domain);
         let is_local = domain.name == self.local_domain && domain.out_since.is_none();
-        row.is_lapsed_but_responsive() && is_local && self.except != Some(server)
+        let is_usable = self.table.uses_lapsed() && row.is_lapsed_but_responsive();
+        is_usable && is_local && self.except != Some(server)
     }
 
     fn is_eligible(&self, server: key::Server) -> bool {
--- a/crates/forward/src/table.rs
+++ b/crates/forward/src/table.rs
@@ -86,6 +86,8 @@
     routing_version: u64,
     /// Sequence number of the last listing of servers that was applied.
     listing_seq: u64,
+    /// Whether servers whose entries have lapsed take new flows.
+    uses_lapsed: bool,
 }
 
 impl Table {
@@ -160,6 +162,48 @@
         rows.all(|row| row.health.is_suspected())
     }
 
+    /// Returns whether servers whose entries have lapsed take new flows when no other one of their
+    /// pool can.
+    pub fn uses_lapsed(&self) -> bool {
+        self.uses_lapsed
+    }
+
+    /// Sets whether the balancer reaches the store. If it does, a server that has no entry is gone;
+    /// if not, its domain may be cut off, and the servers there cannot renew their entries.
+    pub fn set_store_reached(&mut self, is_reached: bool) {
+        self.uses_lapsed = !is_reached;
+    }
+
+    /// Returns whether some pool depends on servers of a failure domain that have no entry: none of
+    /// its servers with an entry has passed its last check.
+    pub fn depends_on_lapsed(&self, domain: &str) -> bool {
+        let Some(&domain) = self.domain_names.get(domain) else {
+            return false;
+        };
+        let lacks_entry = |row: &Row| {
+            let is_missing = matches!(row.status, Status::Missing(_) | Status::Lapsed(_));
+            is_missing && row.domain == domain && !row.health.is_suspected()
+        };
+        // Mostly there is none, and this runs several times per second.
+        let mut pools: Vec<key::Pool> = self
+            .servers()
+            .filter(|(_, row)| lacks_entry(row))
+            .filter_map(|(_, row)| row.pool)
+            .collect();
+        pools.sort_unstable();
+        pools.dedup();
+        pools.into_iter().any(|pool| {
+            let mut rows = self.pools[pool]
+                .servers
+                .iter()
+                .map(|&key| &self.servers[key]);
+            !rows.any(|row| {
+                let is_in = self.domains[row.domain].out_since.is_none();
+                row.status == Status::Ready && is_in && !row.health.is_confirmed()
+            })
+        })
+    }
+
     /// Returns all failure domains that any applied object has named.
     pub fn domains(&self) -> impl Iterator<Item = &Domain> {
         self.domains.values()
--- a/crates/forward/src/tick.rs
+++ b/crates/forward/src/tick.rs
@@ -81,6 +81,7 @@
         announce(state, out);
         discover_peers(state, out);
         expire_servers(state, out);
+        observe_store(state);
         state.loads.expire_reports(now);
         check::settle(state, out);
         check::suspect_domains(state, out);
@@ -144,6 +145,15 @@
     }
 }
 
+/// Finds out whether this balancer reaches the store, if a pool depends on that.
+fn observe_store(state: &mut Forwarder) {
+    let now = state.now;
+    if state.table.depends_on_lapsed(&state.setting.domain) {
+        state.feeds.request_reach(now);
+    }
+    state.table.set_store_reached(state.feeds.reach_store(now));
+}
+
 fn expire_flows(state: &mut Forwarder, out: &mut Vec<Effect>) {
     let now = state.now;
     while let Some((id, expired)) = state.flows.expire(now) {
