forward: tell a restart of a domain from a loss of contact

Change: the balancer records when it hears balancers of each domain. Servers that were silent count as cold and are hinted to other domains unless contact with the balancers there was lost too. Hints of one tick share frames.

--- a/crates/forward/src/check.rs
+++ b/crates/forward/src/check.rs
@@ -16,11 +16,11 @@
 use crate::established;
 use crate::health;
 use crate::note::Note;
+use crate::peer;
 use crate::report;
 use crate::state::Forwarder;
 use crate::table::row::Row;
 use crate::table::row::Status;
-use crate::table::Table;
 
 /// The number of servers of a failure domain whose failures suggest that the domain is partitioned.
 const PARTITION_SERVERS_MIN: usize = 3;
@@ -135,27 +135,34 @@
         let row = state.table.server_mut(server);
         let was_confirmed = row.health.is_confirmed();
         if row.health.settle(now, lifetime) {
-            record_clearance(&mut state.table, now, server, was_confirmed, None, out);
+            record_clearance(state, server, was_confirmed, None, out);
         }
     }
 }
 
-/// Records that a server which was suspected has been found well, here or by a peer.
+/// Records that a server which was suspected has been found well, here or by a peer. A server that
+/// was unresponsive may have restarted, unless this balancer lost contact with its failure domain.
 pub(crate) fn record_clearance(
-    table: &mut Table,
-    now: Time,
+    state: &mut Forwarder,
     server: key::Server,
     was_confirmed: bool,
     by: Option<Incarnation>,
     out: &mut Vec<Effect>,
 ) {
-    if was_confirmed {
-        table.assume_cold(server, now);
+    if was_confirmed && !is_silence_explained(state, server) {
+        state.table.assume_cold(server, state.now);
     }
-    let server = table.server(server).name.clone();
+    let server = state.table.server(server).name.clone();
     out.push(Effect::Note(Note::Recovered { server, by }));
 }
 
+/// Returns whether a loss of contact explains the latest silence of a server.
+pub(crate) fn is_silence_explained(state: &Forwarder, server: key::Server) -> bool {
+    let row = state.table.server(server);
+    let domain = &state.table.domain(row.domain).name;
+    peer::is_silence_explained(state, domain, row.health.last_suspected_at())
+}
+
 /// Handles the result of a check.
 pub(crate) fn handle_result(
     state: &mut Forwarder,
@@ -174,7 +181,7 @@
     let is_cleared = row.health.record_check(now, is_healthy);
     state.has_urgent_evidence |= row.health.is_urgent();
     if is_cleared {
-        record_clearance(&mut state.table, now, server, was_confirmed, None, out);
+        record_clearance(state, server, was_confirmed, None, out);
     } else if row.health.is_unreachable() && !was_unreachable {
         let name = row.name.clone();
         out.push(Effect::Note(Note::Unreachable { server: name }));
@@ -182,6 +189,6 @@
     }
     // Both the beginning of a confirmed silence and its end.
     if is_cleared == was_confirmed {
-        report::publish_restart_hint(state, server, is_cleared, out);
+        report::queue_restart_hint(state, server, is_cleared);
     }
 }
--- a/crates/forward/src/established.rs
+++ b/crates/forward/src/established.rs
@@ -162,7 +162,7 @@
     let health = &mut state.table.server_mut(server).health;
     let was_confirmed = health.is_confirmed();
     if health.record_answer(now) {
-        check::record_clearance(&mut state.table, now, server, was_confirmed, None, out);
+        check::record_clearance(state, server, was_confirmed, None, out);
     }
 }
 
--- a/crates/forward/src/health.rs
+++ b/crates/forward/src/health.rs
@@ -78,6 +78,8 @@
     last_answer: Time,
     /// When the current suspicion began.
     suspected_since: Option<Time>,
+    /// When the latest suspicion began, whether or not it has ended.
+    last_suspected_at: Time,
     /// When this balancer last saw a sign of failure itself.
     last_failure: Time,
     /// The number of checks that failed since the suspicion began.
@@ -127,9 +129,7 @@
         if self.suspected_since.is_some() {
             return false;
         }
-        self.suspected_since = Some(now);
-        self.failed_checks = 0;
-        self.next_check_at = now;
+        self.start_suspicion(now);
         self.request_reports(now, true);
         true
     }
@@ -141,14 +141,24 @@
     pub fn suspect_with_domain(&mut self, now: Time, since: Time) -> bool {
         let is_new = self.suspected_since.is_none() && self.last_answer <= since;
         if is_new {
-            self.suspected_since = Some(now);
-            self.failed_checks = 0;
-            self.next_check_at = now;
+            self.start_suspicion(now);
             self.evidence_at = None;
         }
         is_new
     }
 
+    fn start_suspicion(&mut self, now: Time) {
+        self.suspected_since = Some(now);
+        self.last_suspected_at = now;
+        self.failed_checks = 0;
+        self.next_check_at = now;
+    }
+
+    /// Returns when the latest suspicion began, whether or not it has ended.
+    pub fn last_suspected_at(&self) -> Time {
+        self.last_suspected_at
+    }
+
     /// Returns since when a check has confirmed a suspicion, as the start of the suspicion.
     pub fn confirmed_since(&self) -> Option<Time> {
         self.suspected_since.filter(|_| self.is_confirmed())
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -30,6 +30,7 @@
 //! - `feed`: replication of platform objects: reads, watches, updates from peers and staleness.
 //! - `role`: which balancer reads the platform, and which ones distribute its updates.
 //! - `peer`: membership, and the frames that balancers exchange.
+//! - `contact`: which failure domains' balancers this one hears.
 //! - `load`: load reports of other balancers, and the sums that selection uses.
 //! - `report`: exchange of load reports and restart hints.
 //! - `patch`: deltas between versions of large objects.
@@ -46,6 +47,7 @@
 
 pub mod codec;
 pub mod cold;
+pub mod contact;
 pub mod count;
 pub mod effect;
 pub mod event;
--- a/crates/forward/src/report.rs
+++ b/crates/forward/src/report.rs
@@ -55,14 +55,7 @@
         let health = &mut state.table.server_mut(server).health;
         let was_confirmed = health.is_confirmed();
         if health.apply_peer_clearance(now) {
-            check::record_clearance(
-                &mut state.table,
-                now,
-                server,
-                was_confirmed,
-                Some(from),
-                out,
-            );
+            check::record_clearance(state, server, was_confirmed, Some(from), out);
         }
     }
 }
@@ -86,24 +79,32 @@
     }
 }
 
-/// Sends a restart hint to the balancers of all other failure domains: a server of this domain has
-/// become unresponsive or has recovered, so that it may have restarted. They do not notice that
-/// themselves unless they sent a flow there meanwhile, and its entry may say so only later.
-pub(crate) fn publish_restart_hint(
-    state: &mut Forwarder,
+/// A server that may have restarted.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Hint {
     server: key::Server,
     has_recovered: bool,
-    out: &mut Vec<Effect>,
-) {
+}
+
+/// Queues a restart hint to the balancers of all other failure domains: a server of this domain has
+/// become unresponsive or has recovered, so that it may have restarted. They do not notice that
+/// themselves unless they sent a flow there meanwhile, and its entry may say so only later.
+pub(crate) fn queue_restart_hint(state: &mut Forwarder, server: key::Server, has_recovered: bool) {
     let row = state.table.server(server);
     let is_local = state.table.domain(row.domain).name == state.setting.domain;
-    if !is_local || state.table.is_domain_suspected(server) {
-        return;
+    if is_local && !check::is_silence_explained(state, server) {
+        state.hints.push(Hint {
+            server,
+            has_recovered,
+        });
     }
-    let mut hint = LoadReport::default();
-    match has_recovered {
-        true => hint.cleared.push(row.mark.0),
-        false => hint.unresponsive.push(load::suspicion(row)),
+}
+
+/// Sends the queued restart hints. Those of servers that restart together share frames.
+pub(crate) fn publish_restart_hints(state: &mut Forwarder, out: &mut Vec<Effect>) {
+    let hints = std::mem::take(&mut state.hints);
+    if hints.is_empty() {
+        return;
     }
     let members = state.group.members();
     let others = members.filter(|member| member.domain != state.setting.domain);
@@ -111,8 +112,18 @@
         .filter(|member| member.state.is_live())
         .map(|member| member.peer.datagram)
         .collect();
-    for to in to {
-        peer::send_frame(state, to, Body::LoadReport(hint.clone()), out);
+    for hints in hints.chunks(load::REPORT_HEALTH_MAX) {
+        let mut body = LoadReport::default();
+        for hint in hints {
+            let row = state.table.server(hint.server);
+            match hint.has_recovered {
+                true => body.cleared.push(row.mark.0),
+                false => body.unresponsive.push(load::suspicion(row)),
+            }
+        }
+        for &to in &to {
+            peer::send_frame(state, to, Body::LoadReport(body.clone()), out);
+        }
     }
 }
 
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -7,6 +7,7 @@
 use member::Group;
 
 use crate::check;
+use crate::contact::Contacts;
 use crate::count::Counts;
 use crate::effect::Effect;
 use crate::established;
@@ -22,6 +23,7 @@
 use crate::packet::Head;
 use crate::packet::Verdict;
 use crate::peer;
+use crate::report;
 use crate::role::Role;
 use crate::setting::Setting;
 use crate::table;
@@ -39,6 +41,10 @@
     pub(crate) feeds: Feeds,
     pub(crate) group: Group,
     pub(crate) counts: Counts,
+    /// When balancers of each failure domain were heard.
+    pub(crate) contacts: Contacts,
+    /// The restart hints that have not been sent.
+    pub(crate) hints: Vec<report::Hint>,
     /// Whether the balancer was ready at the last tick.
     pub(crate) was_ready: bool,
     /// When the planned stop began.
@@ -68,6 +74,8 @@
             loads: Loads::default(),
             feeds: Feeds::default(),
             counts: Counts::default(),
+            contacts: Contacts::default(),
+            hints: Vec::new(),
             was_ready: false,
             stopping_since: None,
             role: Role::default(),
--- a/crates/forward/src/table.rs
+++ b/crates/forward/src/table.rs
@@ -305,28 +305,10 @@
         }
     }
 
-    /// Treats a server that was unresponsive and has recovered as cold, since it may have restarted
-    /// before its entry shows that. Does nothing if most of its failure domain is suspected.
+    /// Treats a server as cold that may have restarted before its entry shows that.
     pub fn assume_cold(&mut self, server: key::Server, now: Time) {
-        if !self.is_domain_suspected(server) {
-            let row = &mut self.servers[server];
-            row.cold_until = row.cold_until.max(now + RECOVERY_COLD_PERIOD);
-        }
-    }
-
-    /// Returns whether most other servers of a server's failure domain are suspected: then the
-    /// network failed rather than the server.
-    pub fn is_domain_suspected(&self, server: key::Server) -> bool {
-        let domain = self.servers[server].domain;
-        let others = self.servers().filter(|&(key, row)| {
-            key != server && row.domain == domain && row.is_present() && row.pool.is_some()
-        });
-        let (mut all, mut suspected) = (0, 0);
-        for (_, row) in others {
-            all += 1;
-            suspected += usize::from(row.health.is_suspected());
-        }
-        suspected * 2 > all
+        let row = &mut self.servers[server];
+        row.cold_until = row.cold_until.max(now + RECOVERY_COLD_PERIOD);
     }
 
     /// Lets servers lapse whose entries have been missing for `MISSING_ENTRY_GRACE`, and evicts
--- a/crates/forward/src/tick.rs
+++ b/crates/forward/src/tick.rs
@@ -90,6 +90,7 @@
     check::start_due(state, out);
     start_reads(state, out);
     publish_load(state, out);
+    report::publish_restart_hints(state, out);
     let is_ready = state.is_ready();
     if is_ready != state.was_ready {
         state.was_ready = is_ready;
