forward: a full server is not unreachable

Cause: two checks that took longer than 250 ms made a server unreachable, and its open flows were reset although it was only full. Change: a check ends as Answered, Accepted or Silent. Only two silent checks in a row, without an answer seen by a balancer of the domain since the first one began, make a server unreachable. Balancers report answers of servers that others suspect, and load reports carry the silent checks. A server that only accepted connections, while it answered others, does not count as restarted.

--- a/crates/forward/src/check.rs
+++ b/crates/forward/src/check.rs
@@ -15,6 +15,7 @@
 use crate::effect::Effect;
 use crate::established;
 use crate::health;
+pub use crate::health::Outcome;
 use crate::note::Note;
 use crate::peer;
 use crate::report;
@@ -141,7 +142,7 @@
 }
 
 /// Records that a server which was suspected has been found well, here or by a peer. A server that
-/// was unresponsive may have restarted, unless this balancer lost contact with its failure domain.
+/// was silent may have restarted, unless this balancer lost contact with its failure domain.
 pub(crate) fn record_clearance(
     state: &mut Forwarder,
     server: key::Server,
@@ -149,7 +150,8 @@
     by: Option<Incarnation>,
     out: &mut Vec<Effect>,
 ) {
-    if was_confirmed && !is_silence_explained(state, server) {
+    let was_silent = was_confirmed && state.table.server(server).health.was_silent();
+    if was_silent && !is_silence_explained(state, server) {
         state.table.assume_cold(server, state.now);
     }
     let server = state.table.server(server).name.clone();
@@ -168,7 +170,7 @@
     state: &mut Forwarder,
     server: key::Server,
     name: &str,
-    is_healthy: bool,
+    outcome: Outcome,
     out: &mut Vec<Effect>,
 ) {
     let now = state.now;
@@ -178,7 +180,8 @@
         return;
     }
     let (was_unreachable, was_confirmed) = (row.health.is_unreachable(), row.health.is_confirmed());
-    let is_cleared = row.health.record_check(now, is_healthy);
+    let was_silent = was_confirmed && row.health.was_silent();
+    let is_cleared = row.health.record_check(now, outcome);
     state.has_urgent_evidence |= row.health.is_urgent();
     if is_cleared {
         record_clearance(state, server, was_confirmed, None, out);
@@ -187,8 +190,9 @@
         out.push(Effect::Note(Note::Unreachable { server: name }));
         established::reset_flows(state, server, out);
     }
-    // Both the beginning of a confirmed silence and its end.
-    if is_cleared == was_confirmed {
+    // Both the beginning of a silence and its end.
+    let is_silent = state.table.server(server).health.was_silent();
+    if is_silent && is_cleared == was_silent {
         report::queue_restart_hint(state, server, is_cleared);
     }
 }
--- a/crates/forward/src/established.rs
+++ b/crates/forward/src/established.rs
@@ -161,7 +161,9 @@
     let now = state.now;
     let health = &mut state.table.server_mut(server).health;
     let was_confirmed = health.is_confirmed();
-    if health.record_answer(now) {
+    let is_cleared = health.record_answer(now);
+    state.has_urgent_evidence |= health.is_urgent();
+    if is_cleared {
         check::record_clearance(state, server, was_confirmed, None, out);
     }
 }
--- a/crates/forward/src/event.rs
+++ b/crates/forward/src/event.rs
@@ -8,6 +8,7 @@
 use conf::raw;
 use wire::frame::Frame;
 
+use crate::health::Outcome;
 use crate::setting::Setting;
 
 /// An input of the reducer beside callers' packets.
@@ -51,8 +52,8 @@
         server: key::Server,
         /// The backend server's name.
         name: String,
-        /// Whether it answered under its name.
-        is_healthy: bool,
+        /// What it did in the time of the check.
+        outcome: Outcome,
     },
     /// The process was paused or its host suspended for this long.
     Resumed(Span),
--- a/crates/forward/src/health.rs
+++ b/crates/forward/src/health.rs
@@ -11,11 +11,15 @@
 //!   elsewhere if any other server can take them.
 //! - unresponsive: a failed check, here or at a peer, has confirmed the suspicion. The server
 //!   receives no new flows.
-//! - unreachable: `UNREACHABLE_CHECKS` checks have failed. Packets of its open flows are answered
-//!   with a reset.
+//! - unreachable: `UNREACHABLE_CHECKS` checks in a row were silent, and no balancer of the domain has
+//!   seen an answer since the first of them began. Packets of its open flows are answered with a
+//!   reset.
 //!
-//! An answer or a successful check clears the suspicion. A peer's check does so once this balancer
-//! has seen no failure for `EVIDENCE_AGE_MAX`.
+//! A server that is full accepts the connection of a check, or does not even do that at its limit of
+//! connections, and goes on answering others. It is unresponsive, but not unreachable.
+//!
+//! An answer or a successful check clears the suspicion, and is reported to the peers that have it
+//! too. A peer's report does so once this balancer has seen no failure for `EVIDENCE_AGE_MAX`.
 //!
 //! One balancer of each failure domain checks a server, the first by rendezvous hash, so that the
 //! number of checks does not grow with the number of balancers. The others take the check over one
@@ -36,7 +40,7 @@
 const BACKOFF_DOUBLINGS_MAX: u32 = 3;
 /// Bounds the duration of a check: many times the round trip to any server.
 pub const CHECK_TIMEOUT: Span = Span::millis(250);
-/// The number of failed checks from which a server is unreachable. A single one may be due to
+/// The number of silent checks from which a server is unreachable. A single one may be due to
 /// packet loss.
 const UNREACHABLE_CHECKS: u32 = 2;
 /// Bounds the age of evidence in a peer's report, apart from repetitions: reports of new evidence
@@ -48,6 +52,10 @@
 const REPORTS_PER_EVIDENCE: u8 = 2;
 /// How long the result of a check is valid at peers at least.
 pub const RESULT_LIFETIME_MIN: Span = Span::secs(4);
+/// The number of failed checks without any answer meanwhile from which a server that accepts
+/// connections may have restarted. The checks of a full server fail too, but some balancer sees an
+/// answer in that time.
+const MUTE_CHECKS: u32 = 2;
 /// The rank from which the delay of a takeover no longer grows.
 const TAKEOVER_RANK_MAX: u64 = 8;
 
@@ -71,6 +79,28 @@
     RESULT_LIFETIME_MIN.max(Span(next))
 }
 
+/// The outcome of a check.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The server answered under its name.
+    Answered,
+    /// It accepted the connection, but did not answer in time.
+    Accepted,
+    /// It did not accept the connection.
+    Silent,
+}
+
+/// The results of failed checks that a peer reports.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Failures {
+    /// The number of failed checks.
+    pub failed: u32,
+    /// The number of the latest of them, in a row, that were silent.
+    pub silent: u32,
+    /// When the first of the silent ones began.
+    pub silent_since: Time,
+}
+
 /// The health of a backend server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Health {
@@ -84,6 +114,17 @@
     last_failure: Time,
     /// The number of checks that failed since the suspicion began.
     failed_checks: u32,
+    /// The number of the latest of these, in a row, that were silent without an answer seen by a
+    /// balancer of the domain since the first began.
+    silent_checks: u32,
+    /// When the first of the silent checks began.
+    silent_since: Time,
+    /// The number of the latest failed checks during which no balancer saw an answer.
+    mute_checks: u32,
+    /// Whether the server was silent in the latest suspicion, so that it may have restarted.
+    was_silent: bool,
+    /// When the latest check began.
+    check_started_at: Time,
     /// When the next check may start.
     next_check_at: Time,
     /// When a check last failed, here or according to a peer's report.
@@ -96,6 +137,13 @@
     reports_left: u8,
     /// Whether that evidence is a change that peers should learn before the next regular report.
     is_urgent: bool,
+    /// Whether that evidence is an answer that refutes a suspicion of peers. It is reported once: a
+    /// repetition would vouch for the server at a time at which it may have failed.
+    is_refutation: bool,
+    /// Whether a report to peers has included a failure in the current suspicion.
+    has_reported_failure: bool,
+    /// Whether a peer has reported a suspicion that no balancer is known to have refuted.
+    is_doubted: bool,
 }
 
 /// What a balancer reports of a server.
@@ -108,14 +156,40 @@
 }
 
 impl Health {
-    /// Records an answer of the server, which clears a suspicion.
+    /// Records an answer of the server, which clears a suspicion. If peers have the suspicion too,
+    /// the answer is reported to them.
     ///
     /// Returns whether the server was suspected.
     pub fn record_answer(&mut self, now: Time) -> bool {
         self.last_answer = now;
+        self.clear_checks();
+        let was_suspected = self.suspected_since.take().is_some();
+        if was_suspected {
+            self.evidence_at = None;
+        }
+        if std::mem::take(&mut self.has_reported_failure) || self.is_doubted {
+            self.refute(now);
+        }
+        was_suspected
+    }
+
+    fn clear_checks(&mut self) {
         self.failed_checks = 0;
-        self.evidence_at = None;
-        self.suspected_since.take().is_some()
+        self.silent_checks = 0;
+        self.mute_checks = 0;
+    }
+
+    /// Requests a report of an answer that peers with a suspicion have not seen.
+    fn refute(&mut self, now: Time) {
+        self.is_doubted = false;
+        self.request_reports(now, true);
+        self.reports_left = 1;
+        self.is_refutation = true;
+    }
+
+    /// Returns when this balancer or a peer last saw an answer.
+    fn last_sign(&self) -> Time {
+        self.last_answer.max(self.peer_cleared_at)
     }
 
     /// Records that a packet sent at `sent` has had no answer.
@@ -150,7 +224,9 @@
     fn start_suspicion(&mut self, now: Time) {
         self.suspected_since = Some(now);
         self.last_suspected_at = now;
-        self.failed_checks = 0;
+        self.clear_checks();
+        self.was_silent = false;
+        self.has_reported_failure = false;
         self.next_check_at = now;
     }
 
@@ -169,11 +245,20 @@
         self.last_answer
     }
 
-    /// Applies a suspicion from a peer's report, with the number of checks that failed there. The
-    /// evidence may be as old as `EVIDENCE_AGE_MAX`, so that an answer since then refutes it.
+    /// Applies a suspicion from a peer's report, with the checks that failed there. The evidence may
+    /// be as old as `EVIDENCE_AGE_MAX`, so that an answer since then refutes it; so does one since
+    /// the first silent check began.
     ///
     /// Returns whether this starts a suspicion.
-    pub fn apply_peer_suspicion(&mut self, now: Time, failed_checks: u32) -> bool {
+    pub fn apply_peer_suspicion(&mut self, now: Time, peer: Failures) -> bool {
+        self.is_doubted = true;
+        if peer.silent > 0 && self.last_answer >= peer.silent_since {
+            self.refute(now);
+            if self.suspected_since.is_none() {
+                return false;
+            }
+        }
+        let failed_checks = peer.failed;
         let (failure, evidence_at) = (self.last_failure, now - EVIDENCE_AGE_MAX);
         let is_new = self.suspected_since.is_none() && self.record_unanswered(now, evidence_at);
         if is_new {
@@ -188,7 +273,14 @@
             if failed_checks > self.failed_checks || failed_checks >= u8::MAX.into() {
                 self.result_at = now;
             }
-            self.failed_checks = self.failed_checks.max(failed_checks);
+            if failed_checks >= self.failed_checks {
+                let is_silent = peer.silent > 0 && self.last_sign() < peer.silent_since;
+                self.silent_checks = if is_silent { peer.silent } else { 0 };
+                self.silent_since = peer.silent_since;
+                self.mute_checks += failed_checks - self.failed_checks;
+                self.failed_checks = failed_checks;
+            }
+            self.observe_silence();
         }
         is_new
     }
@@ -200,6 +292,13 @@
     /// Returns whether the server was suspected.
     pub fn apply_peer_clearance(&mut self, now: Time) -> bool {
         self.peer_cleared_at = now;
+        self.silent_checks = 0;
+        self.mute_checks = 0;
+        self.is_doubted = false;
+        if self.is_refutation && self.suspected_since.is_none() {
+            // One report of an answer is enough for all peers.
+            self.reports_left = 0;
+        }
         self.apply_pending_clearance(now)
     }
 
@@ -208,7 +307,13 @@
             return false;
         };
         let is_cleared = self.peer_cleared_at > self.last_failure && self.peer_cleared_at >= since;
-        is_cleared && now.since(self.last_failure) > EVIDENCE_AGE_MAX && self.record_answer(now)
+        if !is_cleared || now.since(self.last_failure) <= EVIDENCE_AGE_MAX {
+            return false;
+        }
+        // The peer has reported it.
+        self.has_reported_failure = false;
+        self.is_doubted = false;
+        self.record_answer(now)
     }
 
     /// Ends what is no longer valid: a suspicion that a peer has cleared without a failure here
@@ -217,7 +322,7 @@
     /// Returns whether this clears a suspicion.
     pub fn settle(&mut self, now: Time, lifetime: Span) -> bool {
         if now.since(self.result_at) >= lifetime {
-            self.failed_checks = 0;
+            self.clear_checks();
         }
         self.apply_pending_clearance(now)
     }
@@ -225,9 +330,10 @@
     /// Records the result of a check.
     ///
     /// Returns whether this clears a suspicion.
-    pub fn record_check(&mut self, now: Time, is_healthy: bool) -> bool {
-        if is_healthy {
+    pub fn record_check(&mut self, now: Time, outcome: Outcome) -> bool {
+        if outcome == Outcome::Answered {
             let was_suspected = self.record_answer(now);
+            self.is_doubted = false;
             self.request_reports(now, was_suspected);
             return was_suspected;
         }
@@ -235,14 +341,53 @@
         self.result_at = now;
         self.next_check_at = now + backoff(self.failed_checks);
         self.failed_checks += 1;
-        self.request_reports(now, self.failed_checks <= UNREACHABLE_CHECKS);
+        self.count_silence(now, outcome);
+        let is_change =
+            self.failed_checks <= UNREACHABLE_CHECKS || self.silent_checks == UNREACHABLE_CHECKS;
+        self.request_reports(now, is_change);
         false
     }
 
+    /// Counts a failed check as silent, unless an answer was seen since it began.
+    fn count_silence(&mut self, now: Time, outcome: Outcome) {
+        let earliest = now - Span(2 * CHECK_TIMEOUT.0);
+        let began_at = match self.check_started_at >= earliest {
+            true => self.check_started_at,
+            false => now - CHECK_TIMEOUT,
+        };
+        let sign = self.last_sign();
+        if sign >= began_at {
+            self.silent_checks = 0;
+            self.mute_checks = 0;
+            return;
+        }
+        if self.silent_checks == 0 || sign >= self.silent_since {
+            self.silent_checks = 0;
+            self.silent_since = began_at;
+        }
+        self.silent_checks = match outcome {
+            Outcome::Silent => self.silent_checks + 1,
+            Outcome::Answered | Outcome::Accepted => 0,
+        };
+        self.mute_checks += 1;
+        self.observe_silence();
+    }
+
+    fn observe_silence(&mut self) {
+        self.was_silent |= self.silent_checks > 0 || self.mute_checks >= MUTE_CHECKS;
+    }
+
+    /// Returns whether the server was silent in the current or latest suspicion, so that it may have
+    /// restarted. A full server is not silent.
+    pub fn was_silent(&self) -> bool {
+        self.was_silent
+    }
+
     fn request_reports(&mut self, now: Time, is_urgent: bool) {
         self.evidence_at = Some(now);
         self.reports_left = REPORTS_PER_EVIDENCE;
         self.is_urgent = is_urgent;
+        self.is_refutation = false;
     }
 
     /// Returns whether a check is due. `rank` returns the place of this balancer among those of its
@@ -259,12 +404,17 @@
     /// Records the start of a check. No other one starts while it may run; if its result is lost,
     /// the next one starts as after a first check that timed out. A failure sets the time anew.
     pub fn start_check(&mut self, now: Time) {
+        self.check_started_at = now;
         self.next_check_at = now + CHECK_TIMEOUT + CHECK_BACKOFF_MIN;
     }
 
-    /// Returns the number of checks that failed since the suspicion began.
-    pub fn failed_checks(&self) -> u32 {
-        self.failed_checks
+    /// Returns the checks that failed since the suspicion began.
+    pub fn failures(&self) -> Failures {
+        Failures {
+            failed: self.failed_checks,
+            silent: self.silent_checks,
+            silent_since: self.silent_since,
+        }
     }
 
     /// Returns whether the server is suspected.
@@ -279,13 +429,13 @@
 
     /// Returns whether the server is unreachable, so that packets to it will not be answered.
     pub fn is_unreachable(&self) -> bool {
-        self.failed_checks >= UNREACHABLE_CHECKS
+        self.silent_checks >= UNREACHABLE_CHECKS
     }
 
     /// Returns the evidence of this balancer to include in the next report to peers. If
     /// `repeats_failures` is set, it includes failures that it has reported before.
     pub fn evidence(&self, now: Time, repeats_failures: bool) -> Option<Evidence> {
-        let is_recent = now.since(self.evidence_at?) < EVIDENCE_AGE_MAX;
+        let is_recent = now.since(self.evidence_at?) < EVIDENCE_AGE_MAX && !self.is_refutation;
         let is_new = is_recent || self.reports_left > 0;
         match self.suspected_since {
             Some(_) => (is_new || repeats_failures).then_some(Evidence::Failure),
@@ -301,6 +451,7 @@
 
     /// Records that a report includes the evidence.
     pub fn record_report(&mut self) {
+        self.has_reported_failure |= self.suspected_since.is_some();
         self.reports_left = self.reports_left.saturating_sub(1);
     }
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -45,6 +45,7 @@
 //! - `setting`: settings and their defaults.
 //! - `prelude`: the types that a driver imports.
 
+pub mod check;
 pub mod codec;
 pub mod cold;
 pub mod contact;
@@ -67,7 +68,6 @@
 pub mod tick;
 pub mod token;
 
-mod check;
 mod dump;
 mod established;
 mod opening;
--- a/crates/forward/src/load.rs
+++ b/crates/forward/src/load.rs
@@ -137,7 +137,7 @@
         // Includes servers that are only suspected: no check of theirs has failed yet.
         unresponsive: suspected
             .into_iter()
-            .map(|server| suspicion(table.server(server)))
+            .map(|server| suspicion(table.server(server), now))
             .collect(),
         cleared: cleared
             .into_iter()
@@ -162,9 +162,16 @@
 }
 
 /// Returns the entry of a suspected server in a report.
-pub(crate) fn suspicion(row: &Row) -> Unresponsive {
+pub(crate) fn suspicion(row: &Row, now: Time) -> Unresponsive {
+    let failures = row.health.failures();
+    let silent_for = match failures.silent {
+        0 => Span::ZERO,
+        _ => now.since(failures.silent_since),
+    };
     Unresponsive {
         server_hash: row.mark.0,
-        failed_checks: u8::try_from(row.health.failed_checks()).unwrap_or(u8::MAX),
+        failed_checks: u8::try_from(failures.failed).unwrap_or(u8::MAX),
+        silent_checks: u8::try_from(failures.silent).unwrap_or(u8::MAX),
+        silent_ms: u16::try_from(silent_for.as_millis()).unwrap_or(u16::MAX),
     }
 }
--- a/crates/forward/src/report.rs
+++ b/crates/forward/src/report.rs
@@ -11,6 +11,7 @@
 use crate::check;
 use crate::effect::Effect;
 use crate::established;
+use crate::health::Failures;
 use crate::load;
 use crate::note::Note;
 use crate::peer;
@@ -39,8 +40,14 @@
         };
         let row = state.table.server_mut(server);
         let was_unreachable = row.health.is_unreachable();
-        let failed_checks = suspicion.failed_checks.into();
-        if row.health.apply_peer_suspicion(now, failed_checks) {
+        let failures = Failures {
+            failed: suspicion.failed_checks.into(),
+            silent: suspicion.silent_checks.into(),
+            silent_since: now - Span::millis(suspicion.silent_ms.into()),
+        };
+        let is_new = row.health.apply_peer_suspicion(now, failures);
+        state.has_urgent_evidence |= row.health.is_urgent();
+        if is_new {
             let server = row.name.clone();
             out.push(Effect::Note(Note::SuspectedByPeer { server, by: from }));
         }
@@ -118,7 +125,7 @@
             let row = state.table.server(hint.server);
             match hint.has_recovered {
                 true => body.cleared.push(row.mark.0),
-                false => body.unresponsive.push(load::suspicion(row)),
+                false => body.unresponsive.push(load::suspicion(row, state.now)),
             }
         }
         for &to in &to {
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -118,8 +118,8 @@
             Event::Checked {
                 server,
                 name,
-                is_healthy,
-            } => check::handle_result(self, server, &name, is_healthy, out),
+                outcome,
+            } => check::handle_result(self, server, &name, outcome, out),
             Event::Resumed(pause) => self.resume(pause, out),
             Event::Setting(setting) => self.reload(*setting, out),
             Event::Stop => self.stop(out),
--- a/crates/forward/tests/all/overload.rs
+++ b/crates/forward/tests/all/overload.rs
@@ -2,6 +2,7 @@
 //! that are alive.
 
 use base::prelude::*;
+use forward::health::Outcome as CheckOutcome;
 
 use crate::sim::Outcome;
 use crate::sim::Simulation;
@@ -69,3 +70,117 @@
         }
     }
 }
+
+/// Runs a deployment in which six servers are at their limit for 6 s. Their checks fail and they leave
+/// many opening packets unanswered, but they answer the callers that they serve. Callers keep ending
+/// some of their flows, so that they open others.
+fn run_full_servers(seed: u64, outcome: CheckOutcome) -> Simulation {
+    let mut sim = Simulation::new(seed, 3, 9, 18).with_rate(300.0);
+    sim.flows_per_domain = 90;
+    sim.run_for(Span::secs(6));
+    for server in 0..6 {
+        sim.servers[server].full = Some(outcome);
+    }
+    sim.is_logging = true;
+    for _ in 0..30 {
+        sim.run_for(Span::millis(200));
+        for flows in sim.idle_flows.values_mut() {
+            flows.truncate(80);
+        }
+    }
+    assert!(
+        sim.checks.len() > 24,
+        "the test must make servers unresponsive"
+    );
+    sim
+}
+
+/// Pattern: servers are full and their checks take too long, while they answer other callers.
+#[test]
+fn a_full_server_keeps_its_flows() {
+    for seed in 70..74 {
+        let sim = run_full_servers(seed, CheckOutcome::Accepted);
+        let resets = sim.log.iter().filter(|line| line.contains(": reset"));
+        assert_eq!(resets.count(), 0, "the servers are alive");
+        sim.assert_no_violations();
+    }
+}
+
+/// Pattern: servers are at their limit of connections, so that checks cannot tell them from dead ones.
+/// The answers that balancers of a domain see do, unless the last of them is too recent to be known
+/// to the others.
+#[test]
+fn an_answer_keeps_a_server_reachable() {
+    /// The period of urgent reports, and a tick.
+    const REPORT_MS: f64 = 130.0;
+    /// Two checks and the delay between them.
+    const CHECKS_MS: f64 = 545.0;
+    let millis = |line: &str| -> f64 {
+        let text = line.split("ms").next().expect("a line starts with a time");
+        text.parse().expect("the time is a number")
+    };
+    let domain = |line: &str| -> usize {
+        let text = line.split(' ').nth(1).expect("a balancer follows");
+        text[1..].parse::<usize>().expect("it has a number") % 3
+    };
+    let mut decisions = 0;
+    for seed in 70..74 {
+        let sim = run_full_servers(seed, CheckOutcome::Silent);
+        let is_decision =
+            |line: &str| line.contains(" is unreachable") && !line.contains("reset, ");
+        for (index, line) in sim.log.iter().enumerate() {
+            if !is_decision(line) {
+                continue;
+            }
+            decisions += 1;
+            let is_named = |server: &&crate::sim::Server| line.contains(&server.name);
+            let server = sim.servers.iter().find(is_named).expect("it is known");
+            let address = format!("at {}", server.address);
+            let age = |other: &str| millis(line) - millis(other);
+            let answer = sim.log[..index].iter().find(|other| {
+                other.contains(&address)
+                    && other.contains(" len 0 ")
+                    && !other.contains(" syn ")
+                    && domain(other) == domain(line)
+                    && (REPORT_MS..CHECKS_MS).contains(&age(other))
+            });
+            assert_eq!(answer, None, "{line}");
+        }
+    }
+    assert!(decisions > 10, "{decisions} servers were unreachable");
+}
+
+/// Returns when the first open flow of a server was reset after it stopped answering, for servers
+/// that stop one after the other.
+fn reset_delays(seed: u64) -> Vec<Span> {
+    let mut sim = Simulation::new(seed, 3, 9, 18).with_rate(120.0);
+    sim.flows_per_domain = 120;
+    sim.run_for(Span::secs(8));
+    let mut delays = Vec::new();
+    for server in 0..6 {
+        sim.is_logging = true;
+        sim.log.clear();
+        let died_at = sim.now;
+        sim.make_unresponsive(server);
+        let wanted = format!("reset, {} is unreachable", sim.servers[server].name);
+        while !sim.log.iter().any(|line| line.contains(&wanted)) {
+            sim.run_for(Span::millis(5));
+        }
+        delays.push(sim.now.since(died_at));
+        sim.is_logging = false;
+        sim.run_for(Span::millis(500));
+    }
+    delays
+}
+
+/// Pattern: servers die with open flows. Their callers wait, so that the flows are reset as soon as
+/// two checks have shown it: after a packet that is left unanswered for 200 ms, two checks of 250 ms
+/// and the delay of 50 ms between them, each started by the next tick.
+#[test]
+fn flows_of_a_dead_server_are_reset_at_once() {
+    let mut delays: Vec<Span> = (60..64).flat_map(reset_delays).collect();
+    delays.sort_unstable();
+    let (median, last) = (delays[delays.len() / 2], delays[delays.len() - 1]);
+    assert!(median <= Span::millis(820), "median {median}, {delays:?}");
+    assert!(last <= Span::millis(1_000), "last {last}, {delays:?}");
+}
--- a/crates/forward/tests/all/sim/server.rs
+++ b/crates/forward/tests/all/sim/server.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddrV4;
 
 use base::prelude::*;
+use forward::health::Outcome as CheckOutcome;
 use forward::prelude::*;
 use rand::Rng;
 
@@ -73,6 +74,9 @@
     pub(crate) runs: usize,
     /// The number of requests that it has refused because its queue was full.
     pub(crate) shed: usize,
+    /// The outcome of checks while it is full: it answers the requests that it has and leaves half of
+    /// the opening packets unanswered.
+    pub(crate) full: Option<CheckOutcome>,
     /// When the store removed its entry.
     pub(crate) removed_at: Option<Time>,
 }
@@ -138,6 +142,7 @@
             cold_flow_times: VecDeque::new(),
             runs: 0,
             shed: 0,
+            full: None,
             removed_at: None,
         });
         self.write_server(index);
@@ -231,6 +236,10 @@
             return;
         }
         if head.flags.syn {
+            let is_new = !state.flows.contains_key(&head.caller);
+            if state.full.is_some() && is_new && self.random.random_range(0..2) == 0 {
+                return;
+            }
             self.check_opening(server, head, via);
             let flows = &mut self.servers[server].flows;
             flows
--- a/crates/plat/src/http.rs
+++ b/crates/plat/src/http.rs
@@ -18,6 +18,9 @@
 
 /// Time-out of connecting.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time-out of connecting for a check. Less than the time-out of a check, so that a connection which
+/// is not accepted is told from an answer that is late; many times a round trip to any server.
+const CHECK_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time-out from a request to the end of its response. The wait of a long poll is added.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum length of a response body, in bytes.
@@ -38,6 +41,7 @@
 #[derive(Clone, Debug)]
 pub struct Http {
     client: reqwest::Client,
+    check_client: reqwest::Client,
     base: String,
     timeout: Duration,
 }
@@ -51,6 +55,15 @@
     Write,
 }
 
+/// Why a server did not respond.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoResponse {
+    /// It did not accept the connection.
+    NotAccepted,
+    /// It accepted the connection and sent no response in time.
+    Late,
+}
+
 /// The result of a write that the platform responded to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Written<T> {
@@ -72,20 +85,23 @@
         if url.scheme() != "http" || url.host().is_none() {
             return Err(Error::Refused(format!("{base} is not an http:// URL")));
         }
-        let client = reqwest::Client::builder()
-            .connect_timeout(CONNECT_TIMEOUT)
-            .tcp_keepalive(KEEP_ALIVE_INTERVAL)
-            .tcp_keepalive_interval(KEEP_ALIVE_INTERVAL)
-            .tcp_keepalive_retries(KEEP_ALIVE_RETRIES)
-            .tcp_user_timeout(TCP_USER_TIMEOUT)
-            .pool_idle_timeout(POOL_IDLE_TIMEOUT)
-            .redirect(reqwest::redirect::Policy::none())
-            .retry(reqwest::retry::never())
-            .no_proxy()
-            .build()
-            .map_err(|error| refused(&error))?;
+        let build = |connect_timeout| {
+            reqwest::Client::builder()
+                .connect_timeout(connect_timeout)
+                .tcp_keepalive(KEEP_ALIVE_INTERVAL)
+                .tcp_keepalive_interval(KEEP_ALIVE_INTERVAL)
+                .tcp_keepalive_retries(KEEP_ALIVE_RETRIES)
+                .tcp_user_timeout(TCP_USER_TIMEOUT)
+                .pool_idle_timeout(POOL_IDLE_TIMEOUT)
+                .redirect(reqwest::redirect::Policy::none())
+                .retry(reqwest::retry::never())
+                .no_proxy()
+                .build()
+                .map_err(|error| refused(&error))
+        };
         Ok(Http {
-            client,
+            client: build(CONNECT_TIMEOUT)?,
+            check_client: build(CHECK_CONNECT_TIMEOUT)?,
             base,
             timeout: REQUEST_TIMEOUT,
         })
@@ -132,20 +148,24 @@
     }
 
     /// Sends a GET request to a server outside the platform, and returns the headers of its
-    /// response, whatever its status is. Returns `None` if there is none in time.
+    /// response, whatever its status is.
+    ///
+    /// # Errors
+    ///
+    /// Why there is no response in time.
     pub async fn fetch_headers(
         &self,
         address: SocketAddr,
         path: &str,
         timeout: Duration,
-    ) -> Option<HeaderMap> {
-        let request = self.client.get(format!("http://{address}{path}"));
+    ) -> Result<HeaderMap, NoResponse> {
+        let request = self.check_client.get(format!("http://{address}{path}"));
         let request = request.header(CONNECTION, "close").timeout(timeout);
-        request
-            .send()
-            .await
-            .ok()
-            .map(|response| response.headers().clone())
+        match request.send().await {
+            Ok(response) => Ok(response.headers().clone()),
+            Err(error) if error.is_connect() => Err(NoResponse::NotAccepted),
+            Err(_) => Err(NoResponse::Late),
+        }
     }
 
     /// Sends a write and decodes the response.
--- a/crates/plat/src/source.rs
+++ b/crates/plat/src/source.rs
@@ -8,6 +8,7 @@
 
 use crate::client::Client;
 use crate::error::Error;
+use crate::http::NoResponse;
 use crate::response::List;
 
 /// Address at which a balancer receives datagrams from its peers.
@@ -19,6 +20,26 @@
     pub peer_address: SocketAddr,
 }
 
+/// The result of a health check of a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Checked {
+    /// It responded under its name.
+    Answered,
+    /// It accepted the connection and did not respond in time.
+    Accepted,
+    /// It did not accept the connection, or another server responded at its address.
+    Silent,
+}
+
+impl From<NoResponse> for Checked {
+    fn from(why: NoResponse) -> Checked {
+        match why {
+            NoResponse::NotAccepted => Checked::Silent,
+            NoResponse::Late => Checked::Accepted,
+        }
+    }
+}
+
 /// The requests to a platform that a packet-forwarding balancer makes.
 pub trait Source: Clone + Send + Sync + 'static {
     /// Lists the objects of a kind.
@@ -42,7 +63,7 @@
     /// Lists the announced balancers.
     fn balancers(&self) -> impl Future<Output = Result<Vec<Announcement>, Error>> + Send;
 
-    /// Returns whether a backend server responds to a health check in time and under its name. The
+    /// Checks whether a backend server responds to a health check in time and under its name. The
     /// health that the response states is ignored, since it may be wrong.
     fn check_server(
         &self,
@@ -50,7 +71,7 @@
         path: &str,
         name: &str,
         timeout: Duration,
-    ) -> impl Future<Output = bool> + Send;
+    ) -> impl Future<Output = Checked> + Send;
 }
 
 impl Source for Client {
@@ -88,11 +109,9 @@
         path: &str,
         _name: &str,
         timeout: Duration,
-    ) -> bool {
+    ) -> Checked {
         // The name is not checked: any response in time counts.
-        self.http()
-            .fetch_headers(address, path, timeout)
-            .await
-            .is_some()
+        let response = self.http().fetch_headers(address, path, timeout).await;
+        response.map_or_else(Checked::from, |_| Checked::Answered)
     }
 }
--- a/crates/shell/src/packets/source.rs
+++ b/crates/shell/src/packets/source.rs
@@ -13,9 +13,11 @@
 use base::prelude::*;
 use conf::key;
 use conf::object::Kind;
+use forward::check::Outcome;
 use forward::event::Event;
 use plat::response::Unreadable;
 use plat::source::Announcement;
+use plat::source::Checked;
 use plat::source::Source;
 use plat::Error;
 use tokio::sync::mpsc;
@@ -121,11 +123,15 @@
         let (source, events) = (self.source.clone(), self.events.clone());
         tokio::spawn(async move {
             let timeout = Duration::from_micros(timeout.0);
-            let is_healthy = source.check_server(address, &path, &name, timeout).await;
+            let outcome = match source.check_server(address, &path, &name, timeout).await {
+                Checked::Answered => Outcome::Answered,
+                Checked::Accepted => Outcome::Accepted,
+                Checked::Silent => Outcome::Silent,
+            };
             let event = Event::Checked {
                 server,
                 name,
-                is_healthy,
+                outcome,
             };
             // The send fails only after the loop has ended.
             let _ = events.send(event).await;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -127,6 +127,10 @@
     pub server_hash: u32,
     /// Number of failed health checks; 0 if the server is only suspected.
     pub failed_checks: u8,
+    /// Number of the latest of these, in a row, that were silent: no connection was accepted.
+    pub silent_checks: u8,
+    /// Time since the first of the silent checks began, in milliseconds; 0 if there is none.
+    pub silent_ms: u16,
 }
 
 /// Request for the objects of one kind that are newer at the receiver.
