forward: reach in a module of its own

Change: reach decides from the balancer's own reads, which have to fail for 300 ms; the functions on contact move to check.

--- a/crates/forward/src/check.rs
+++ b/crates/forward/src/check.rs
@@ -10,6 +10,7 @@
 
 use base::prelude::*;
 use conf::key;
+use member::State;
 
 use crate::count::Kind;
 use crate::effect::Effect;
@@ -158,11 +159,36 @@
     out.push(Effect::Note(Note::Recovered { server, by }));
 }
 
-/// Returns whether a loss of contact explains the latest silence of a server.
+/// Returns whether a gap in the frames from a failure domain means a loss of contact. The balancers
+/// of the own domain send many more frames than probes; of others, one has to have failed a probe.
+pub(crate) fn is_contact_doubted(state: &Forwarder, domain: &str) -> bool {
+    let mut members = state.group.members();
+    domain == state.setting.domain
+        || state.group.is_partitioned(domain)
+        || members.any(|member| member.domain == domain && member.state == State::Suspect)
+}
+
+/// Returns whether a loss of contact with a server's failure domain explains its latest silence. A
+/// balancer without a peer in its own domain goes by the others.
 pub(crate) fn is_silence_explained(state: &Forwarder, server: key::Server) -> bool {
     let row = state.table.server(server);
-    let domain = &state.table.domain(row.domain).name;
-    peer::is_silence_explained(state, domain, row.health.last_suspected_at())
+    let domain = state.table.domain(row.domain).name.as_str();
+    let since = row.health.last_suspected_at();
+    let contacts = &state.contacts;
+    let is_lost = |domain: &str| {
+        contacts.was_restored(domain, since)
+            || contacts.is_silent(state.now, domain) && is_contact_doubted(state, domain)
+    };
+    if domain != state.setting.domain || peer::domain_peers(state).next().is_some() {
+        return is_lost(domain);
+    }
+    let others = state
+        .group
+        .members()
+        .filter(|member| member.state.is_live() && member.domain != state.setting.domain);
+    let mut domains: Vec<&str> = others.map(|member| member.domain.as_str()).collect();
+    domains.dedup();
+    !domains.is_empty() && domains.into_iter().all(is_lost)
 }
 
 /// Handles the result of a check.
--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -49,15 +49,6 @@
 /// Bounds the age of the heartbeat feed's confirmation of which watermarks are published: the
 /// heartbeat watch, the time-out of a lost answer and the read that follows it.
 pub const WATERMARK_AGE_MAX: Span = Span::millis(1_500);
-/// The number of own reads in a row that have to fail before the store counts as not reached. A
-/// single one may be lost.
-pub const LOST_READS: u32 = 2;
-/// How long a failed read shows that the store is not reached: the period of the reads that ask for
-/// it, and the time-out of one.
-pub const LOST_READ_AGE_MAX: Span = Span::millis(2_500);
-/// The period of the reads by which a balancer finds out whether it reaches the store. Two fit the
-/// time for which a server without an entry keeps taking flows.
-pub const REACH_PERIOD: Span = Span::millis(900);
 /// How long a balancer does not start reads for its role after its first listing. Balancers that
 /// start together find each other in that time, and elect one reader.
 pub const STARTUP_QUIET_PERIOD: Span = Span::millis(1_200);
@@ -93,11 +84,6 @@
     confirmed_at: Option<Time>,
     /// When the platform last confirmed the state to this balancer.
     read_at: Option<Time>,
-    /// The number of this balancer's own reads that failed since the last one that the platform
-    /// answered, whatever peers sent meanwhile.
-    lost_reads: u32,
-    /// When the last of them failed.
-    lost_at: Time,
     /// When the platform last confirmed the state to a peer of another failure domain that
     /// published it.
     remote_read_at: Option<Time>,
@@ -149,8 +135,6 @@
             failures: 0,
             confirmed_at: None,
             read_at: None,
-            lost_reads: 0,
-            lost_at: Time::default(),
             remote_read_at: None,
             quiet_until: Time::default(),
             last_peer_update: None,
@@ -266,7 +250,6 @@
         self.gap_since = None;
         self.confirmed_at = Some(now);
         self.read_at = Some(now);
-        self.lost_reads = 0;
         self.clear_behind();
         self.read_state = ReadState::Idle(match change.is_empty() {
             true => now,
@@ -284,12 +267,6 @@
         let doublings = self.failures.min(8);
         let max_wait = Span(BACKOFF_MIN.0 << doublings).min(BACKOFF_MAX);
         self.failures += u32::from(!is_history_gone);
-        // That the history is gone is an answer too.
-        self.lost_reads = match is_history_gone {
-            true => 0,
-            false => self.lost_reads + 1,
-        };
-        self.lost_at = now;
         let wait = match is_history_gone {
             true => Span::ZERO,
             false => Span(max_wait.0 / 2 + max_wait.0 * jitter / 200),
@@ -389,8 +366,6 @@
     feeds: [Feed; 3],
     /// The highest version of an object that a peer has and this balancer lacks, and since when.
     missing_version: Option<(u64, Time)>,
-    /// When the next read may be requested that finds out whether the store is reached.
-    next_reach_at: Time,
 }
 
 impl Default for Feeds {
@@ -398,7 +373,6 @@
         Feeds {
             feeds: KINDS.map(Feed::new),
             missing_version: None,
-            next_reach_at: Time::default(),
         }
     }
 }
@@ -492,27 +466,11 @@
         }
     }
 
-    /// Returns whether this balancer reaches the store as far as its own reads show. Without recent
-    /// reads it counts as reaching it, since peers read for it.
-    pub fn reach_store(&self, now: Time) -> bool {
-        let last_read = self.feeds.iter().filter_map(|feed| feed.read_at).max();
-        !self.feeds.iter().any(|feed| {
-            let is_recent = now.since(feed.lost_at) <= LOST_READ_AGE_MAX;
-            feed.lost_reads >= LOST_READS && is_recent && Some(feed.lost_at) > last_read
-        })
-    }
-
-    /// Requests a read that finds out whether this balancer reaches the store, at most every
-    /// `REACH_PERIOD`.
-    pub fn request_reach(&mut self, now: Time) {
-        if now < self.next_reach_at {
-            return;
-        }
-        self.next_reach_at = now + REACH_PERIOD;
-        if let Some(feed) = self.get_mut(HEARTBEAT_KIND) {
-            if feed.read_state != ReadState::Fetching {
-                feed.request_read(now);
-            }
+    /// Requests a read of the heartbeat's kind, unless one is in flight that is answered at once.
+    pub fn request_heartbeat(&mut self, now: Time) {
+        let feed = self.get_mut(HEARTBEAT_KIND);
+        if let Some(feed) = feed.filter(|feed| feed.read_state != ReadState::Fetching) {
+            feed.request_read(now);
         }
     }
 
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -30,6 +30,7 @@
 //! - `feed`: replication of platform objects: reads, watches, updates from peers and staleness.
 //! - `role`: which balancer reads the platform, and which ones distribute its updates.
 //! - `peer`: membership, and the frames that balancers exchange.
+//! - `reach`: whether this balancer's own reads of the platform are answered.
 //! - `contact`: which failure domains' balancers this one hears.
 //! - `load`: load reports of other balancers, and the sums that selection uses.
 //! - `report`: exchange of load reports and restart hints.
@@ -60,6 +61,7 @@
 pub mod packet;
 pub mod patch;
 pub mod prelude;
+pub mod reach;
 pub mod role;
 pub mod select;
 pub mod setting;
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -12,7 +12,6 @@
 use member::codec::Piggyback;
 use member::Group;
 use member::Member;
-use member::State;
 use wire::frame::Body;
 use wire::frame::Frame;
 use wire::frame::Objects;
@@ -114,39 +113,11 @@
         return;
     };
     let domain = &member.domain;
-    let is_lost = state.contacts.is_silent(state.now, domain) && is_contact_doubted(state, domain);
+    let is_lost =
+        state.contacts.is_silent(state.now, domain) && check::is_contact_doubted(state, domain);
     state.contacts.record_frame(state.now, domain, is_lost);
 }
 
-/// Returns whether a gap in the frames from a failure domain means a loss of contact. The balancers
-/// of the own domain send many more frames than probes; of others, one has to have failed a probe.
-fn is_contact_doubted(state: &Forwarder, domain: &str) -> bool {
-    let mut members = state.group.members();
-    domain == state.setting.domain
-        || state.group.is_partitioned(domain)
-        || members.any(|member| member.domain == domain && member.state == State::Suspect)
-}
-
-/// Returns whether the loss of contact with a failure domain explains that a server there has been
-/// silent since `since`. A balancer without a peer in its own domain goes by the others.
-pub(crate) fn is_silence_explained(state: &Forwarder, domain: &str, since: Time) -> bool {
-    let contacts = &state.contacts;
-    let is_lost = |domain: &str| {
-        contacts.was_restored(domain, since)
-            || contacts.is_silent(state.now, domain) && is_contact_doubted(state, domain)
-    };
-    if domain != state.setting.domain || domain_peers(state).next().is_some() {
-        return is_lost(domain);
-    }
-    let others = state
-        .group
-        .members()
-        .filter(|member| member.state.is_live() && member.domain != state.setting.domain);
-    let mut domains: Vec<&str> = others.map(|member| member.domain.as_str()).collect();
-    domains.dedup();
-    !domains.is_empty() && domains.into_iter().all(is_lost)
-}
-
 fn apply_objects(
     state: &mut Forwarder,
     from: Incarnation,
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -23,6 +23,7 @@
 use crate::packet::Head;
 use crate::packet::Verdict;
 use crate::peer;
+use crate::reach::Reach;
 use crate::report;
 use crate::role::Role;
 use crate::setting::Setting;
@@ -43,6 +44,8 @@
     pub(crate) counts: Counts,
     /// When balancers of each failure domain were heard.
     pub(crate) contacts: Contacts,
+    /// Whether this balancer reaches the store.
+    pub(crate) reach: Reach,
     /// The restart hints that have not been sent.
     pub(crate) hints: Vec<report::Hint>,
     /// Whether the balancer was ready at the last tick.
@@ -75,6 +78,7 @@
             feeds: Feeds::default(),
             counts: Counts::default(),
             contacts: Contacts::default(),
+            reach: Reach::default(),
             hints: Vec::new(),
             was_ready: false,
             stopping_since: None,
--- a/crates/forward/src/tick.rs
+++ b/crates/forward/src/tick.rs
@@ -149,10 +149,11 @@
 /// Finds out whether this balancer reaches the store, if a pool depends on that.
 fn observe_store(state: &mut Forwarder) {
     let now = state.now;
-    if state.table.depends_on_lapsed(&state.setting.domain) {
-        state.feeds.request_reach(now);
+    let is_needed = state.table.depends_on_lapsed(&state.setting.domain);
+    if is_needed && state.reach.start_due_read(now) {
+        state.feeds.request_heartbeat(now);
     }
-    state.table.set_store_reached(state.feeds.reach_store(now));
+    state.table.set_store_reached(state.reach.is_reached(now));
 }
 
 fn expire_flows(state: &mut Forwarder, out: &mut Vec<Effect>) {
@@ -237,6 +238,7 @@
     out: &mut Vec<Effect>,
 ) {
     let now = state.now;
+    state.reach.record_answer();
     let Some(feed) = state.feeds.get_mut(kind) else {
         return;
     };
@@ -267,6 +269,11 @@
 ) {
     let now = state.now;
     state.counts.add(count::Kind::ReadFailures);
+    match is_history_gone {
+        // That the history is gone is an answer too.
+        true => state.reach.record_answer(),
+        false => state.reach.record_loss(now),
+    }
     let jitter = base::hash::pair(state.incarnation().0, now.0) % 100;
     let Some(feed) = state.feeds.get_mut(kind) else {
         return;
--- a/crates/forward/tests/all/overload.rs
+++ b/crates/forward/tests/all/overload.rs
@@ -3,7 +3,9 @@
 
 use base::prelude::*;
 use forward::health::Outcome as CheckOutcome;
+use forward::reach::Reach;
 
+use crate::sim;
 use crate::sim::Outcome;
 use crate::sim::Simulation;
 use crate::sim::Status;
@@ -133,7 +135,7 @@
                 continue;
             }
             decisions += 1;
-            let is_named = |server: &&crate::sim::Server| line.contains(&server.name);
+            let is_named = |server: &&sim::Server| line.contains(&server.name);
             let server = sim.servers.iter().find(is_named).expect("it is known");
             let address = format!("at {}", server.address);
             let age = |other: &str| millis(line) - millis(other);
@@ -184,3 +186,23 @@
     assert!(median <= Span::millis(820), "median {median}, {delays:?}");
     assert!(last <= Span::millis(1_000), "last {last}, {delays:?}");
 }
+
+/// A short disturbance fails reads of several kinds at once. It must not put lapsed servers to use.
+#[test]
+fn the_store_is_lost_only_after_reads_failed_for_a_while() {
+    let mut reach = Reach::default();
+    let at = |millis| sim::START + Span::millis(millis);
+    assert!(reach.is_reached(at(0)));
+    reach.record_loss(at(0));
+    reach.record_loss(at(20));
+    assert!(reach.is_reached(at(20)));
+    reach.record_loss(at(900));
+    assert!(!reach.is_reached(at(1_000)));
+    assert!(reach.is_reached(at(4_000)), "the results are too old");
+    reach.record_loss(at(4_000));
+    assert!(reach.is_reached(at(4_000)), "the first loss in a long time");
+    reach.record_loss(at(4_900));
+    assert!(!reach.is_reached(at(4_900)));
+    reach.record_answer();
+    assert!(reach.is_reached(at(4_900)));
+}
