--- a/crates/forward/src/check.rs
+++ b/crates/forward/src/check.rs
@@ -10,17 +10,19 @@
 
 use base::prelude::*;
 use conf::key;
+use member::State;
 
 use crate::count::Kind;
 use crate::effect::Effect;
 use crate::established;
 use crate::health;
+pub use crate::health::Outcome;
 use crate::note::Note;
+use crate::peer;
 use crate::report;
 use crate::state::Forwarder;
 use crate::table::row::Row;
 use crate::table::row::Status;
-use crate::table::Table;
 
 /// The number of servers of a failure domain whose failures suggest that the domain is partitioned.
 const PARTITION_SERVERS_MIN: usize = 3;
@@ -135,33 +137,66 @@
         let row = state.table.server_mut(server);
         let was_confirmed = row.health.is_confirmed();
         if row.health.settle(now, lifetime) {
-            record_clearance(&mut state.table, now, server, was_confirmed, None, out);
+            record_clearance(state, server, was_confirmed, None, out);
         }
     }
 }
 
-/// Records that a server which was suspected has been found well, here or by a peer.
+/// Records that a server which was suspected has been found well, here or by a peer. A server that
+/// was silent may have restarted, unless this balancer lost contact with its failure domain.
 pub(crate) fn record_clearance(
-    table: &mut Table,
-    now: Time,
+    state: &mut Forwarder,
     server: key::Server,
     was_confirmed: bool,
     by: Option<Incarnation>,
     out: &mut Vec<Effect>,
 ) {
-    if was_confirmed {
-        table.assume_cold(server, now);
+    let was_silent = was_confirmed && state.table.server(server).health.was_silent();
+    if was_silent && !is_silence_explained(state, server) {
+        state.table.assume_cold(server, state.now);
     }
-    let server = table.server(server).name.clone();
+    let server = state.table.server(server).name.clone();
     out.push(Effect::Note(Note::Recovered { server, by }));
 }
 
+/// Returns whether a gap in the frames from a failure domain means a loss of contact. The balancers
+/// of the own domain send many more frames than probes; of others, one has to have failed a probe.
+pub(crate) fn is_contact_doubted(state: &Forwarder, domain: &str) -> bool {
+    let mut members = state.group.members();
+    domain == state.setting.domain
+        || state.group.is_partitioned(domain)
+        || members.any(|member| member.domain == domain && member.state == State::Suspect)
+}
+
+/// Returns whether a loss of contact with a server's failure domain explains its latest silence. A
+/// balancer without a peer in its own domain goes by the others.
+pub(crate) fn is_silence_explained(state: &Forwarder, server: key::Server) -> bool {
+    let row = state.table.server(server);
+    let domain = state.table.domain(row.domain).name.as_str();
+    let since = row.health.last_suspected_at();
+    let contacts = &state.contacts;
+    let is_lost = |domain: &str| {
+        contacts.was_restored(domain, since)
+            || contacts.is_silent(state.now, domain) && is_contact_doubted(state, domain)
+    };
+    if domain != state.setting.domain || peer::domain_peers(state).next().is_some() {
+        return is_lost(domain);
+    }
+    let others = state
+        .group
+        .members()
+        .filter(|member| member.state.is_live() && member.domain != state.setting.domain);
+    let mut domains: Vec<&str> = others.map(|member| member.domain.as_str()).collect();
+    domains.dedup();
+    !domains.is_empty() && domains.into_iter().all(is_lost)
+}
+
 /// Handles the result of a check.
 pub(crate) fn handle_result(
     state: &mut Forwarder,
     server: key::Server,
     name: &str,
-    is_healthy: bool,
+    outcome: Outcome,
     out: &mut Vec<Effect>,
 ) {
     let now = state.now;
@@ -171,17 +206,19 @@
         return;
     }
     let (was_unreachable, was_confirmed) = (row.health.is_unreachable(), row.health.is_confirmed());
-    let is_cleared = row.health.record_check(now, is_healthy);
+    let was_silent = was_confirmed && row.health.was_silent();
+    let is_cleared = row.health.record_check(now, outcome);
     state.has_urgent_evidence |= row.health.is_urgent();
     if is_cleared {
-        record_clearance(&mut state.table, now, server, was_confirmed, None, out);
+        record_clearance(state, server, was_confirmed, None, out);
     } else if row.health.is_unreachable() && !was_unreachable {
         let name = row.name.clone();
         out.push(Effect::Note(Note::Unreachable { server: name }));
         established::reset_flows(state, server, out);
     }
-    // Both the beginning of a confirmed silence and its end.
-    if is_cleared == was_confirmed {
-        report::publish_restart_hint(state, server, is_cleared, out);
+    // Both the beginning of a silence and its end.
+    let is_silent = state.table.server(server).health.was_silent();
+    if is_silent && is_cleared == was_silent {
+        report::queue_restart_hint(state, server, is_cleared);
     }
 }
--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -466,6 +466,14 @@
         }
     }
 
+    /// Requests a read of the heartbeat's kind, unless one is in flight that is answered at once.
+    pub fn request_heartbeat(&mut self, now: Time) {
+        let feed = self.get_mut(HEARTBEAT_KIND);
+        if let Some(feed) = feed.filter(|feed| feed.read_state != ReadState::Fetching) {
+            feed.request_read(now);
+        }
+    }
+
     /// Requests a read of all kinds, because their state may be stale.
     pub fn request_reads(&mut self, now: Time) {
         for feed in &mut self.feeds {
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -79,6 +79,7 @@
 ) {
     state.counts.add(count::Kind::Received);
     let from = frame.from;
+    record_contact(state, from);
     let body = match codec::decode(frame.body) {
         Ok((message, piggyback)) => {
             state
@@ -107,6 +108,16 @@
     }
 }
 
+fn record_contact(state: &mut Forwarder, from: Incarnation) {
+    let Some(member) = state.group.get(from) else {
+        return;
+    };
+    let domain = &member.domain;
+    let is_lost =
+        state.contacts.is_silent(state.now, domain) && check::is_contact_doubted(state, domain);
+    state.contacts.record_frame(state.now, domain, is_lost);
+}
+
 fn apply_objects(
     state: &mut Forwarder,
     from: Incarnation,
--- a/crates/forward/src/report.rs
+++ b/crates/forward/src/report.rs
@@ -11,6 +11,7 @@
 use crate::check;
 use crate::effect::Effect;
 use crate::established;
+use crate::health::Failures;
 use crate::load;
 use crate::note::Note;
 use crate::peer;
@@ -39,8 +40,14 @@
         };
         let row = state.table.server_mut(server);
         let was_unreachable = row.health.is_unreachable();
-        let failed_checks = suspicion.failed_checks.into();
-        if row.health.apply_peer_suspicion(now, failed_checks) {
+        let failures = Failures {
+            failed: suspicion.failed_checks.into(),
+            silent: suspicion.silent_checks.into(),
+            silent_since: now - Span::millis(suspicion.silent_ms.into()),
+        };
+        let is_new = row.health.apply_peer_suspicion(now, failures);
+        state.has_urgent_evidence |= row.health.is_urgent();
+        if is_new {
             let server = row.name.clone();
             out.push(Effect::Note(Note::SuspectedByPeer { server, by: from }));
         }
@@ -55,14 +62,7 @@
         let health = &mut state.table.server_mut(server).health;
         let was_confirmed = health.is_confirmed();
         if health.apply_peer_clearance(now) {
-            check::record_clearance(
-                &mut state.table,
-                now,
-                server,
-                was_confirmed,
-                Some(from),
-                out,
-            );
+            check::record_clearance(state, server, was_confirmed, Some(from), out);
         }
     }
 }
@@ -86,24 +86,32 @@
     }
 }
 
-/// Sends a restart hint to the balancers of all other failure domains: a server of this domain has
-/// become unresponsive or has recovered, so that it may have restarted. They do not notice that
-/// themselves unless they sent a flow there meanwhile, and its entry may say so only later.
-pub(crate) fn publish_restart_hint(
-    state: &mut Forwarder,
+/// A server that may have restarted.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Hint {
     server: key::Server,
     has_recovered: bool,
-    out: &mut Vec<Effect>,
-) {
+}
+
+/// Queues a restart hint to the balancers of all other failure domains: a server of this domain has
+/// become unresponsive or has recovered, so that it may have restarted. They do not notice that
+/// themselves unless they sent a flow there meanwhile, and its entry may say so only later.
+pub(crate) fn queue_restart_hint(state: &mut Forwarder, server: key::Server, has_recovered: bool) {
     let row = state.table.server(server);
     let is_local = state.table.domain(row.domain).name == state.setting.domain;
-    if !is_local || state.table.is_domain_suspected(server) {
-        return;
+    if is_local && !check::is_silence_explained(state, server) {
+        state.hints.push(Hint {
+            server,
+            has_recovered,
+        });
     }
-    let mut hint = LoadReport::default();
-    match has_recovered {
-        true => hint.cleared.push(row.mark.0),
-        false => hint.unresponsive.push(load::suspicion(row)),
+}
+
+/// Sends the queued restart hints. Those of servers that restart together share frames.
+pub(crate) fn publish_restart_hints(state: &mut Forwarder, out: &mut Vec<Effect>) {
+    let hints = std::mem::take(&mut state.hints);
+    if hints.is_empty() {
+        return;
     }
     let members = state.group.members();
     let others = members.filter(|member| member.domain != state.setting.domain);
@@ -111,8 +119,18 @@
         .filter(|member| member.state.is_live())
         .map(|member| member.peer.datagram)
         .collect();
-    for to in to {
-        peer::send_frame(state, to, Body::LoadReport(hint.clone()), out);
+    for hints in hints.chunks(load::REPORT_HEALTH_MAX) {
+        let mut body = LoadReport::default();
+        for hint in hints {
+            let row = state.table.server(hint.server);
+            match hint.has_recovered {
+                true => body.cleared.push(row.mark.0),
+                false => body.unresponsive.push(load::suspicion(row, state.now)),
+            }
+        }
+        for &to in &to {
+            peer::send_frame(state, to, Body::LoadReport(body.clone()), out);
+        }
     }
 }
 
--- a/crates/forward/tests/all/sim/server.rs
+++ b/crates/forward/tests/all/sim/server.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddrV4;
 
 use base::prelude::*;
+use forward::health::Outcome as CheckOutcome;
 use forward::prelude::*;
 use rand::Rng;
 
@@ -73,6 +74,11 @@
     pub(crate) runs: usize,
     /// The number of requests that it has refused because its queue was full.
     pub(crate) shed: usize,
+    /// The outcome of checks while it is full: it answers the requests that it has and leaves half of
+    /// the opening packets unanswered.
+    pub(crate) full: Option<CheckOutcome>,
+    /// When the store removed its entry.
+    pub(crate) removed_at: Option<Time>,
 }
 
 /// The phase of a flow at its server.
@@ -136,6 +142,8 @@
             cold_flow_times: VecDeque::new(),
             runs: 0,
             shed: 0,
+            full: None,
+            removed_at: None,
         });
         self.write_server(index);
         index
@@ -147,6 +155,14 @@
         self.write_server(server);
     }
 
+    /// Removes the entry of a server that keeps serving, as the store does when the server cannot
+    /// renew it.
+    pub(crate) fn remove_entry(&mut self, server: usize) {
+        self.servers[server].removed_at = Some(self.now);
+        let name = self.servers[server].name.clone();
+        self.remove_object(conf::object::Kind::Server, &name);
+    }
+
     /// Terminates a drained server and removes its entry.
     pub(crate) fn terminate_server(&mut self, server: usize) {
         self.servers[server].status = Status::Stopped;
@@ -220,6 +236,10 @@
             return;
         }
         if head.flags.syn {
+            let is_new = !state.flows.contains_key(&head.caller);
+            if state.full.is_some() && is_new && self.random.random_range(0..2) == 0 {
+                return;
+            }
             self.check_opening(server, head, via);
             let flows = &mut self.servers[server].flows;
             flows
@@ -266,7 +286,7 @@
         }
     }
 
-    fn check_opening(&mut self, server: usize, head: &Head, _via: usize) {
+    fn check_opening(&mut self, server: usize, head: &Head, via: usize) {
         let state = &self.servers[server];
         let is_new = !state.flows.contains_key(&head.caller);
         if state.pool != POOL && head.service == super::SERVICE {
@@ -277,6 +297,12 @@
                 self.violations.insert(Violation::DrainExpired(server));
             }
         }
+        if state
+            .removed_at
+            .is_some_and(|at| self.now.since(at) > DRAIN_TIMEOUT && self.reaches_store(via))
+        {
+            self.violations.insert(Violation::DrainExpired(server));
+        }
         let out = self.out_since.get(&state.domain);
         if out.is_some_and(|&since| self.now.since(since) > DOMAIN_OUT_TIMEOUT) {
             self.violations.insert(Violation::DomainOut(server));
