forward: requests under way expire when their server may have answered

Cause: a balancer does not see that a server rejects a flow. An opening packet counted as a request for 1.5 s and a request without an answer for 2 s, so that full servers looked alike and selection was by hash.

Change: a request counts for 100 ms after the opening packet, and from data on for the time in which the server answers even from the end of its queue, by the service times in the new module speed (250 ms to 2 s). The estimate for a server is bounded by its slots and a queue of 4 a slot. A short answer of a server without a free slot is a rejection: it is no sample, and the server counts as full for one queue's worth of work.

--- a/crates/forward/src/count.rs
+++ b/crates/forward/src/count.rs
@@ -29,6 +29,10 @@
     Unanswered,
     /// Flows that expired after an idle time, without an end by the caller.
     Quiet,
+    /// Requests that a full server rejected, as far as the sizes of answers show.
+    Rejected,
+    /// Changes of a server to slow.
+    Slowed,
     /// Reads of the platform.
     Reads,
     /// Reads that failed.
--- a/crates/forward/src/established.rs
+++ b/crates/forward/src/established.rs
@@ -9,6 +9,8 @@
 use crate::flow::Flow;
 use crate::flow::Id;
 use crate::flow::Phase;
+use crate::flow::REQUEST_TIMEOUT;
+use crate::load;
 use crate::note::Note;
 use crate::packet::Flags;
 use crate::packet::Head;
@@ -106,11 +108,44 @@
     if flow.ack == head.ack {
         return;
     }
+    let size = head.ack.wrapping_sub(flow.ack);
     flow.ack = head.ack;
-    let (server, was_busy) = (flow.server, std::mem::take(&mut flow.is_busy));
+    let was_busy = std::mem::take(&mut flow.is_busy);
+    let was_due = std::mem::take(&mut flow.awaits_answer);
+    let flow = *flow;
     if was_busy {
-        state.table.server_mut(server).requests -= 1;
-        record_answer(state, server, out);
+        state.table.server_mut(flow.server).requests -= 1;
+    }
+    if was_due {
+        record_speed(state, &flow, size);
+    }
+    // A request that no longer counts may still be answered.
+    if was_busy || was_due {
+        record_answer(state, flow.server, out);
+    }
+}
+
+/// Records the service time that an answer shows, or that its server is full.
+fn record_speed(state: &mut Forwarder, flow: &Flow, size: u32) {
+    let (now, server) = (state.now, flow.server);
+    let row = state.table.server(server);
+    let Some(pool) = row.pool else {
+        return;
+    };
+    let slots = row.slots;
+    // The reports of peers may have shown only later that the slots were taken.
+    let others = load::requests(row, &state.loads, server);
+    let had_free_slot = flow.ahead.max(others) < slots;
+    if state.speeds.is_rejection(pool, size, had_free_slot) {
+        state.counts.add(Kind::Rejected);
+        return state.speeds.record_rejection(now, server, pool);
+    }
+    state.speeds.record_size(pool, size);
+    if !flow.is_resent {
+        let took = now.since(flow.data_sent_at);
+        state
+            .speeds
+            .record(now, server, pool, took, flow.ahead, slots);
     }
 }
 
@@ -134,8 +169,11 @@
         flow.data_seq = head.seq;
     }
     let (moves, opened_at, basis) = (flow.moves, flow.opened_at, flow.basis);
+    flow.is_resent = is_repeated;
+    flow.awaits_answer = true;
+    state.table.server_mut(server).requests += u32::from(!was_busy);
+    time_request(state, id, server);
     let row = state.table.server_mut(server);
-    row.requests += u32::from(!was_busy);
     if is_repeated && !has_progress && row.health.record_unanswered(now, sent_at) {
         state.has_urgent_evidence = true;
         out.push(Effect::Note(Note::Suspected {
@@ -156,6 +194,20 @@
     }
 }
 
+/// Sets how long the request of a flow counts as under way, and what is ahead of it.
+fn time_request(state: &mut Forwarder, id: Id, server: key::Server) {
+    let row = state.table.server(server);
+    let ahead = load::requests(row, &state.loads, server).saturating_sub(1);
+    let timeout = match row.pool {
+        Some(pool) => state.speeds.answer_timeout(state.now, server, pool),
+        None => REQUEST_TIMEOUT,
+    };
+    let flow = flow_mut(state, id);
+    flow.ahead = ahead;
+    flow.request_timeout = timeout;
+    state.flows.queue_request(id);
+}
+
 /// Records that a server has answered a caller.
 fn record_answer(state: &mut Forwarder, server: key::Server, out: &mut Vec<Effect>) {
     let now = state.now;
--- a/crates/forward/src/flow.rs
+++ b/crates/forward/src/flow.rs
@@ -7,8 +7,11 @@
 //!
 //! A request is under way from the opening packet or the caller's data until the caller
 //! acknowledges the first part of the response. Requests under way are the load of a server: flows
-//! may stay open for long between two requests.
+//! may stay open for long between two requests. A balancer does not see that a server rejects a
+//! flow, so a request counts only for as long as its server may take to answer.
 
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::fmt;
@@ -27,8 +30,11 @@
 /// How long a flow without an answer is kept after its last opening packet. A caller gives up after
 /// 1.4 s, and its retransmissions follow the first packet within 600 ms.
 pub const OPENING_TIMEOUT: Span = Span::millis(1_500);
-/// The time without a packet after which a request no longer counts as under way. A caller that
-/// waits for its answer sends nothing, for about a second even if the server is slow and has a
+/// The time after an opening packet for which its request counts as under way. The caller's data
+/// follows the handshake within some 10 ms, unless the server has rejected the flow.
+pub const OPENING_REQUEST_TIMEOUT: Span = Span::millis(100);
+/// The longest time without a packet after which a request no longer counts as under way. A caller
+/// that waits for its answer sends nothing, for about a second even if the server is slow and has a
 /// queue.
 pub const REQUEST_TIMEOUT: Span = Span::secs(2);
 /// The time without a packet after which a flow without a request under way is removed. Callers
@@ -79,6 +85,18 @@
     pub last_seen: Time,
     /// Whether a request is under way.
     pub is_busy: bool,
+    /// The time without a packet after which its request no longer counts as under way.
+    pub request_timeout: Span,
+    /// Whether an answer to the caller's latest data is due, whether or not it still counts as under
+    /// way.
+    pub awaits_answer: bool,
+    /// Whether that data was forwarded more than once, so that its answer is no sample of the
+    /// service time.
+    pub is_resent: bool,
+    /// The number of other requests at the server when that data was forwarded.
+    pub ahead: u32,
+    /// Whether `Flows::request_queue` has an entry for it.
+    is_queued: bool,
     /// The position of the caller's latest data in its stream.
     pub data_seq: u32,
     /// When that data was last forwarded.
@@ -108,6 +126,8 @@
     map: HashMap<Id, Flow, BuildHasherDefault<IdHasher>>,
     /// Each flow once, with the time of its next expiry test, in the order of insertion.
     expiry_queue: VecDeque<(Time, Id)>,
+    /// The flows with a request under way, by the time of the request's next expiry test.
+    request_queue: BinaryHeap<Reverse<(Time, Id)>>,
 }
 
 impl Id {
@@ -152,6 +172,14 @@
             opening_sent_at: now,
             last_seen: now,
             is_busy: false,
+            request_timeout: match phase {
+                Phase::Opening => OPENING_REQUEST_TIMEOUT,
+                Phase::Open => REQUEST_TIMEOUT,
+            },
+            awaits_answer: false,
+            is_resent: false,
+            ahead: 0,
+            is_queued: false,
             data_seq: 0,
             data_sent_at: now,
             ack: 0,
@@ -175,10 +203,17 @@
     fn expires_at(&self) -> Time {
         match (self.phase, self.is_busy) {
             (Phase::Opening, _) => self.opening_sent_at + OPENING_TIMEOUT,
-            (Phase::Open, true) => self.last_seen + REQUEST_TIMEOUT,
+            (Phase::Open, true) => self.request_expires_at(),
             (Phase::Open, false) => self.last_seen + IDLE_TIMEOUT,
         }
     }
+
+    fn request_expires_at(&self) -> Time {
+        match self.phase {
+            Phase::Opening => self.opening_sent_at + OPENING_REQUEST_TIMEOUT,
+            Phase::Open => self.last_seen + self.request_timeout,
+        }
+    }
 }
 
 impl Flows {
@@ -227,9 +262,25 @@
         assert!(old.is_none(), "flow is already in the table");
         let first_test = flow.expires_at().min(flow.last_seen + REQUEST_TIMEOUT);
         self.expiry_queue.push_back((first_test, id));
+        self.queue_request(id);
         true
     }
 
+    /// Queues the expiry of a flow's request, if one is under way. If there is no room, the request
+    /// expires with the tests of `expiry_queue`.
+    pub fn queue_request(&mut self, id: Id) {
+        if self.request_queue.len() >= FLOWS_MAX {
+            return;
+        }
+        if let Some(flow) = self.map.get_mut(&id) {
+            if flow.is_busy && !flow.is_queued {
+                flow.is_queued = true;
+                let due = flow.request_expires_at();
+                self.request_queue.push(Reverse((due, id)));
+            }
+        }
+    }
+
     /// Removes a flow.
     pub fn remove(&mut self, id: Id) -> Option<Flow> {
         self.map.remove(&id)
@@ -237,6 +288,7 @@
 
     /// Removes all flows, and returns them in the order of insertion.
     pub fn remove_all(&mut self) -> Vec<Flow> {
+        self.request_queue.clear();
         let ids = std::mem::take(&mut self.expiry_queue)
             .into_iter()
             .map(|(_, id)| id);
@@ -246,6 +298,9 @@
 
     /// Removes the next flow that has expired by `now`, or ends its request if that has expired.
     pub fn expire(&mut self, now: Time) -> Option<(Id, Expired)> {
+        if let Some((id, flow)) = self.expire_request(now) {
+            return Some((id, Expired::Request(flow)));
+        }
         // Each call tests an entry at most once, since an entry that is put back is due after
         // `now`.
         while self
@@ -274,6 +329,32 @@
         }
         None
     }
+
+    fn expire_request(&mut self, now: Time) -> Option<(Id, Flow)> {
+        while let Some(&Reverse((due, id))) = self.request_queue.peek() {
+            if due > now {
+                return None;
+            }
+            self.request_queue.pop();
+            // The flow may have ended, and its id may have been used again.
+            let Some(flow) = self.map.get_mut(&id) else {
+                continue;
+            };
+            flow.is_queued = false;
+            if !flow.is_busy {
+                continue;
+            }
+            let due = flow.request_expires_at();
+            if due > now {
+                flow.is_queued = true;
+                self.request_queue.push(Reverse((due, id)));
+                continue;
+            }
+            flow.is_busy = false;
+            return Some((id, *flow));
+        }
+        None
+    }
 }
 
 impl fmt::Display for Id {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -16,6 +16,7 @@
 //! - `opening`: opening packets: server selection, retransmissions and refusals.
 //! - `established`: packets of open flows, forwarded by route token.
 //! - `select`: load balancing: the backend server of a new flow.
+//! - `speed`: service times of backend servers, from their answers.
 //! - `health`: passive failure detection of backend servers, confirmed by health checks.
 //! - `check`: scheduling and results of those health checks.
 //! - `cold`: slow start: the rate at which a cold backend server receives flows.
@@ -60,6 +61,7 @@
 pub mod role;
 pub mod select;
 pub mod setting;
+pub mod speed;
 pub mod state;
 pub mod table;
 pub mod tick;
--- a/crates/forward/src/load.rs
+++ b/crates/forward/src/load.rs
@@ -31,6 +31,9 @@
 /// take half of a balancer's control budget of 12 KB per second.
 pub const REPORT_PERIOD_PER_PEER: Span = Span::millis(13);
 
+/// The number of requests that a server queues for each of its slots. Servers of 2 slots queued 8.
+pub const QUEUE_PER_SLOT: u32 = 4;
+
 /// The latest report of each peer, and the sum per backend server.
 #[derive(Clone, Debug, Default)]
 pub struct Loads {
@@ -56,6 +59,14 @@
         oldest.map_or(Span::ZERO, |at| now.since(at))
     }
 
+    /// Returns whether most reports are older than `limit`. One balancer that has just ended makes
+    /// no difference.
+    pub fn are_older_than(&self, now: Time, limit: Span) -> bool {
+        let ages = self.reports.values();
+        let old = ages.filter(|report| now.since(report.received_at) > limit);
+        old.count() * 2 > self.reports.len()
+    }
+
     /// Applies a report in place of the sender's previous one. Unknown servers are left out.
     pub fn apply_report(
         &mut self,
@@ -109,6 +120,18 @@
     }
 }
 
+/// Returns the number of requests that a server can hold: those that it runs and its queue.
+pub fn capacity(slots: u32) -> u32 {
+    slots.max(1).saturating_mul(1 + QUEUE_PER_SLOT)
+}
+
+/// Returns the estimated number of requests under way at a server: this balancer's own and those in
+/// peers' reports. It is no more than the server can hold, since it rejects the others.
+pub fn requests(row: &Row, loads: &Loads, server: key::Server) -> u32 {
+    let reported = row.requests.saturating_add(loads.requests(server));
+    reported.min(capacity(row.slots))
+}
+
 /// Returns the period of the load reports of a balancer with this many peers in its failure domain.
 pub fn report_period(peers: u64) -> Span {
     REPORT_PERIOD_MIN.max(Span(REPORT_PERIOD_PER_PEER.0 * peers))
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -24,6 +24,7 @@
 use crate::peer;
 use crate::role::Role;
 use crate::setting::Setting;
+use crate::speed::Speeds;
 use crate::table;
 use crate::table::Table;
 use crate::tick;
@@ -36,6 +37,7 @@
     pub(crate) table: Table,
     pub(crate) flows: Flows,
     pub(crate) loads: Loads,
+    pub(crate) speeds: Speeds,
     pub(crate) feeds: Feeds,
     pub(crate) group: Group,
     pub(crate) counts: Counts,
@@ -66,6 +68,7 @@
             table: Table::default(),
             flows: Flows::default(),
             loads: Loads::default(),
+            speeds: Speeds::default(),
             feeds: Feeds::default(),
             counts: Counts::default(),
             was_ready: false,
--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -12,3 +12,4 @@
 mod sim;
 mod table;
 mod token;
+mod uneven;
--- a/crates/node/src/text.rs
+++ b/crates/node/src/text.rs
@@ -92,6 +92,7 @@
             Body::Fragment(fragment) => {
                 write!(f, "fragment {} of {}", fragment.index, fragment.count)
             }
+            Body::Speeds(speeds) => write!(f, "speeds of {} servers", speeds.len()),
         }
     }
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -96,6 +96,9 @@
     ObjectsRequest(Vec<ObjectsRequest>),
     /// A fragment of a frame that is longer than a datagram.
     Fragment(Fragment),
+    /// Service times of slow backend servers, as seen by the sender. It replaces the sender's
+    /// earlier frame. For balancers that forward packets.
+    Speeds(Vec<Speed>),
 }
 
 /// Load report of a balancer that forwards packets. It replaces the sender's earlier report.
@@ -129,6 +132,15 @@
     pub failed_checks: u8,
 }
 
+/// The service time of one backend server, from the answers that the sender has seen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Speed {
+    /// Hash of the backend server's identity, by which route tokens name it.
+    pub server_hash: u32,
+    /// Service time, in microseconds.
+    pub service_us: u32,
+}
+
 /// Request for the objects of one kind that are newer at the receiver.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ObjectsRequest {
