forward: selection by expected time to an answer

Cause: selection counted requests per slot whatever the speed of servers. With half of the servers five times slower, the p99 was 326 ms.

A server counts as slower from twice its pool's time on; then its requests and its own service time count with the factor. While reports are older than a service time, servers that differ by less than one request per slot look equal.

--- a/crates/forward/src/dump.rs
+++ b/crates/forward/src/dump.rs
@@ -44,7 +44,13 @@
             writeln!(f, "domain {} {state}", domain.name)?;
         }
         for (key, row) in self.table.servers() {
-            writeln!(f, "{key} {row}, {} open at peers", self.loads.requests(key))?;
+            write!(f, "{key} {row}, {} open at peers", self.loads.requests(key))?;
+            let service = match row.pool {
+                Some(pool) => self.speeds.service_time_in(self.now, key, pool),
+                None => self.speeds.service_time(self.now, key),
+            };
+            let full_until = self.speeds.full_until(key);
+            writeln!(f, ", service {service}, full until {full_until}")?;
         }
         for member in self.group.members() {
             writeln!(f, "{member}")?;
--- a/crates/forward/src/note.rs
+++ b/crates/forward/src/note.rs
@@ -120,6 +120,18 @@
         /// The peer whose check succeeded; `None` for this balancer.
         by: Option<Incarnation>,
     },
+    /// A backend server became slow: it takes at least twice as long as its pool. Or it no longer
+    /// does.
+    SlowServer {
+        /// The server.
+        server: String,
+        /// Whether it is slow now.
+        is_slow: bool,
+        /// Its service time, by the answers of the last 2 s and the reports of the last second.
+        service: Span,
+        /// The pool's service time.
+        pool: Span,
+    },
     /// A suspected backend server is unreachable because repeated checks failed.
     Unreachable {
         /// The server.
@@ -238,6 +250,15 @@
                 write!(f, "{server} may have restarted, reported by {by}")
             }
             Note::Recovered { server, .. } => write!(f, "{server} answers again"),
+            Note::SlowServer {
+                server,
+                is_slow,
+                service,
+                pool,
+            } => {
+                let state = if *is_slow { "slow" } else { "no longer slow" };
+                write!(f, "{server} is {state}: {service}, its pool {pool}")
+            }
             Note::Unreachable { server } => write!(f, "{server} is unreachable"),
             Note::Lapsed { server, .. } => {
                 write!(f, "{server} takes no new flows: its entry lapsed")
--- a/crates/forward/src/opening.rs
+++ b/crates/forward/src/opening.rs
@@ -163,6 +163,8 @@
     let selector = Selector {
         table: &state.table,
         loads: &state.loads,
+        speeds: &state.speeds,
+        balancer: state.incarnation(),
         local_domain: &state.setting.domain,
         now: state.now,
         flow: id.hash(),
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -101,6 +101,7 @@
             }
         }
         Body::ObjectsRequest(requests) => answer_resync(state, peer, &requests, out),
+        Body::Speeds(speeds) => state.apply_speeds(from, &speeds),
         // The other frames are for the balancers of crate `node`, which relay callers' datagrams to
         // the owner of a backend server, or are fragments, which the driver reassembles.
         _ => (),
--- a/crates/forward/src/select.rs
+++ b/crates/forward/src/select.rs
@@ -1,21 +1,31 @@
 //! Selection of the backend server of a new flow.
 //!
-//! The server with the fewest requests under way per slot is selected, including those that peers
-//! report. A server of another failure domain counts as if it had one more request per slot. Ties
-//! are broken by the number of flows that this balancer has open there, since open flows bring
-//! further requests, then by the flow's hash, so that balancers with the same data spread their
-//! flows.
+//! The server with the shortest expected time to an answer is selected: the requests under way per
+//! slot, including those that peers report, times the service time. A server of another failure
+//! domain counts as if it had one more request per slot. While no server is slow (`speed`), the one
+//! with the fewest requests per slot is selected. Ties are broken by the number of flows that this
+//! balancer has open there, since open flows bring further requests, then by the flow's hash, so
+//! that balancers with the same data spread their flows.
+//!
+//! Reports that are older than a service time say little about a free slot, and all balancers of a
+//! large domain would select the server that had the fewest requests then. Servers that differ by
+//! less than one request per slot therefore look equal, and the requests of this balancer decide,
+//! which it knows exactly.
 //!
 //! The caller of a retransmitted opening packet has waited for 200 ms or more, which most callers
 //! aim for as their latency. While all servers are saturated, as when balancers return and all
 //! callers of the outage retry, new callers come first: the retransmission is dropped, and a later
 //! one finds a free slot.
 
+use base::hash;
 use base::prelude::*;
 use conf::key;
 
 use crate::flow::Basis;
+use crate::load;
 use crate::load::Loads;
+use crate::speed;
+use crate::speed::Speeds;
 use crate::table::Table;
 
 /// The cost of one request under way, or of one open flow, per slot.
@@ -23,6 +33,9 @@
 /// The extra cost of a server in another failure domain. Its packets take slower and more expensive
 /// links.
 const REMOTE_DOMAIN_COST: u64 = UNIT_COST;
+/// The age from which reports may count as old, whatever the service time. The reports of up to 8
+/// balancers in a domain are newer, and so few do not select the same server at once.
+const OLD_REPORT_AGE_MIN: Span = Span::millis(50);
 
 /// The inputs of a selection.
 pub struct Selector<'a> {
@@ -30,6 +43,10 @@
     pub table: &'a Table,
     /// The flows that peers have open.
     pub loads: &'a Loads,
+    /// The service times of servers.
+    pub speeds: &'a Speeds,
+    /// The incarnation of this balancer.
+    pub balancer: Incarnation,
     /// The balancer's own failure domain.
     pub local_domain: &'a str,
     /// The current time.
@@ -57,13 +74,15 @@
     Unavailable,
 }
 
-/// The sort key, least first: suspected servers last, then by cost, by open flows and by hash.
-type Rank = (bool, u64, u64, u64, key::Server);
+/// The sort key, least first: suspected servers last, then by cost, by own requests if reports are
+/// old, by open flows and by hash.
+type Rank = (bool, u64, u64, u64, u64, key::Server);
 
 impl Selector<'_> {
     /// Selects a server of the pool. `owns_cold` returns whether this balancer opens flows at a
     /// cold server.
     pub fn select(&self, pool: key::Pool, owns_cold: impl Fn(key::Server) -> bool) -> Selection {
+        let has_old_reports = self.has_old_reports(pool);
         let mut best: Option<Rank> = None;
         let mut candidates = 0u16;
         let (mut is_cold_limited, mut has_unresponsive, mut has_saturated) = (false, false, false);
@@ -85,15 +104,7 @@
                 continue;
             }
             candidates = candidates.saturating_add(1);
-            let tie = route::rendezvous::score(self.flow, u64::from(row.mark.0));
-            let flows = per_slot(row.open_flows, row.slots);
-            let rank = (
-                row.health.is_suspected(),
-                self.cost(server),
-                flows,
-                tie,
-                server,
-            );
+            let rank = self.rank(server, has_old_reports);
             if best.is_none_or(|best| rank < best) {
                 best = Some(rank);
             }
@@ -107,6 +118,31 @@
         }
     }
 
+    fn rank(&self, server: key::Server, has_old_reports: bool) -> Rank {
+        let row = self.table.server(server);
+        let is_suspected = row.health.is_suspected();
+        let mark = u64::from(row.mark.0);
+        let flows = per_slot(row.open_flows, row.slots);
+        let cost = self.cost(server);
+        if !has_old_reports {
+            let tie = route::rendezvous::score(self.flow, mark);
+            return (is_suspected, cost, 0, flows, tie, server);
+        }
+        let own = per_slot(row.requests, row.slots);
+        // Flows that arrive at several balancers at the same time spread as well.
+        let tie = route::rendezvous::score(hash::pair(self.flow, self.balancer.0), mark);
+        (is_suspected, cost / UNIT_COST, own, flows, tie, server)
+    }
+
+    /// Returns whether most reports are older than a request takes.
+    fn has_old_reports(&self, pool: key::Pool) -> bool {
+        let service = self.speeds.pool_service_time(self.now, pool);
+        service.is_some_and(|service| {
+            let limit = service.max(OLD_REPORT_AGE_MIN);
+            self.loads.are_older_than(self.now, limit)
+        })
+    }
+
     /// Selects a server of the local domain whose entry has lapsed. Every eligible server has
     /// failed a check, which suggests that the local domain is partitioned from the platform and
     /// its servers cannot renew their entries.
@@ -147,16 +183,24 @@
         self.now >= self.table.server(server).next_cold_flow_at && owns_cold(server)
     }
 
-    /// Returns the number of requests under way at a server: this balancer's own and those in peers'
-    /// reports.
+    /// Returns the estimated number of requests under way at a server. It is greater than the counted
+    /// one if the server has just rejected a request.
     fn requests(&self, server: key::Server) -> u32 {
-        self.table.server(server).requests + self.loads.requests(server)
+        let row = self.table.server(server);
+        let implied = self.speeds.implied_requests(self.now, server, row.slots);
+        load::requests(row, self.loads, server).max(implied)
     }
 
     fn cost(&self, server: key::Server) -> u64 {
         let row = self.table.server(server);
         let is_remote = self.table.domain(row.domain).name != self.local_domain;
-        per_slot(self.requests(server), row.slots) + u64::from(is_remote) * REMOTE_DOMAIN_COST
+        let waiting = per_slot(self.requests(server), row.slots);
+        let slowdown = self.speeds.slowdown(self.now, server);
+        // The request itself takes longer as well, also at a server without others.
+        let excess = slowdown - speed::UNIT_SLOWDOWN;
+        waiting * slowdown / speed::UNIT_SLOWDOWN
+            + excess * UNIT_COST / speed::UNIT_SLOWDOWN
+            + u64::from(is_remote) * REMOTE_DOMAIN_COST
     }
 
     fn basis(&self, server: key::Server, candidates: u16) -> Basis {
--- a/crates/forward/src/speed.rs
+++ b/crates/forward/src/speed.rs
@@ -57,6 +57,9 @@
 /// The unit of logarithms: a factor of 2. A server is slow from this factor on, since service times
 /// of equal servers vary by less.
 const DOUBLE: i64 = 256;
+/// The deviation below which a slow server no longer is, a factor of 1.25. Its flows return
+/// gradually while its estimate fades, instead of all at once.
+const RECOVERED: i64 = DOUBLE / 4;
 /// Bounds the deviation of one answer from the pool's time, a factor of 8, so that a lost packet
 /// counts no more than a long request.
 const DEVIATION_MAX: i64 = 3 * DOUBLE;
@@ -99,6 +102,8 @@
     reports: i64,
     /// The number of these that call the server slow.
     slow_reports: u32,
+    /// When it last rejected a request.
+    rejected_at: Time,
     full_until: Time,
     /// Whether it was slow at the last review.
     was_slow: bool,
@@ -206,6 +211,12 @@
         let weight = own.weight + (self.reports + PRIOR) * ANSWER;
         (own.sum + self.reported * ANSWER) / weight
     }
+
+    /// Returns the deviation of a server that counts as slow.
+    fn slow_deviation(&self, now: Time) -> Option<i64> {
+        let least = if self.was_slow { RECOVERED } else { DOUBLE };
+        Some(self.deviation(now)).filter(|&deviation| deviation >= least)
+    }
 }
 
 impl Speeds {
@@ -240,13 +251,16 @@
     /// Returns the service time of a server. It is the pool's unless the server is slow.
     pub fn service_time(&self, now: Time, server: key::Server) -> Span {
         let entry = &self.servers[server];
-        let Some(log) = entry.pool.and_then(|pool| self.pools[pool].log()) else {
-            return SERVICE_TIME_DEFAULT;
-        };
-        match self.is_slow(now, server) {
-            true => exp(log + entry.deviation(now)),
-            false => exp(log),
-        }
+        let time = |pool| self.service_time_in(now, server, pool);
+        entry.pool.map_or(SERVICE_TIME_DEFAULT, time)
+    }
+
+    /// Returns the service time of a server of a pool, also if neither this balancer nor a peer has
+    /// seen an answer of that server.
+    pub fn service_time_in(&self, now: Time, server: key::Server, pool: key::Pool) -> Span {
+        let pool_time = self.pool_service_time(now, pool);
+        let pool_time = pool_time.unwrap_or(SERVICE_TIME_DEFAULT);
+        Span(pool_time.0 * self.slowdown(now, server) / UNIT_SLOWDOWN)
     }
 
     /// Returns the service time of a pool; `None` before its first answer.
@@ -254,30 +268,31 @@
         self.pools[pool].log().map(exp)
     }
 
-    /// Returns whether a server takes at least twice as long as its pool.
+    /// Returns whether a server takes at least twice as long as its pool, or did at the last review
+    /// and has not recovered.
     pub fn is_slow(&self, now: Time, server: key::Server) -> bool {
-        self.servers[server].deviation(now) >= DOUBLE
+        self.servers[server].slow_deviation(now).is_some()
     }
 
     /// Returns the service time of a server over the pool's, in thousandths. It is `UNIT_SLOWDOWN`
     /// unless the server is slow, so that noise does not affect selection.
     pub fn slowdown(&self, now: Time, server: key::Server) -> u64 {
-        match self.servers[server].deviation(now) {
-            deviation if deviation >= DOUBLE => {
+        match self.servers[server].slow_deviation(now) {
+            Some(deviation) => {
                 let whole = UNIT_SLOWDOWN << (deviation / DOUBLE);
                 whole + whole * (deviation % DOUBLE) as u64 / DOUBLE as u64
             }
-            _ => UNIT_SLOWDOWN,
+            None => UNIT_SLOWDOWN,
         }
     }
 
     /// Returns the time in which a server answers even from the end of its queue, so that a request
     /// without an answer by then was lost or rejected.
     pub fn answer_timeout(&self, now: Time, server: key::Server, pool: key::Pool) -> Span {
-        let Some(pool_time) = self.pool_service_time(now, pool) else {
+        if self.pool_service_time(now, pool).is_none() {
             return flow::REQUEST_TIMEOUT;
-        };
-        let service = Span(pool_time.0 * self.slowdown(now, server) / UNIT_SLOWDOWN);
+        }
+        let service = self.service_time_in(now, server, pool);
         let longest = Span(service.0 * u64::from(1 + load::QUEUE_PER_SLOT));
         longest.clamp(ANSWER_TIMEOUT_MIN, flow::REQUEST_TIMEOUT)
     }
@@ -302,11 +317,11 @@
     /// Records a rejection: the server's queue is full, and counts as full for the time of the work
     /// in it.
     pub fn record_rejection(&mut self, now: Time, server: key::Server, pool: key::Pool) {
-        let pool_time = self.pool_service_time(now, pool);
-        let pool_time = pool_time.unwrap_or(SERVICE_TIME_DEFAULT);
-        let service = pool_time.0 * self.slowdown(now, server) / UNIT_SLOWDOWN;
-        let work = Span(service * u64::from(load::QUEUE_PER_SLOT));
-        self.servers[server].full_until = now + work.min(FULL_TIME_MAX);
+        let service = self.service_time_in(now, server, pool);
+        let work = Span(service.0 * u64::from(load::QUEUE_PER_SLOT));
+        let entry = &mut self.servers[server];
+        entry.rejected_at = now;
+        entry.full_until = now + work.min(FULL_TIME_MAX);
     }
 
     /// Returns until when a server counts as full.
@@ -314,6 +329,19 @@
         self.servers[server].full_until
     }
 
+    /// Returns the least number of requests at a server that a rejection implies. Its queue was full
+    /// then, and drains until `full_until`, when the requests that were in it run.
+    pub fn implied_requests(&self, now: Time, server: key::Server, slots: u32) -> u32 {
+        let entry = &self.servers[server];
+        let left = entry.full_until.since(now).0;
+        let total = entry.full_until.since(entry.rejected_at).0;
+        if left == 0 || total == 0 {
+            return 0;
+        }
+        let queue = load::capacity(slots).saturating_sub(slots);
+        slots + (u64::from(queue) * left / total) as u32
+    }
+
     /// Returns whether a server counts as full because it rejected a request.
     pub fn is_full(&self, now: Time, server: key::Server) -> bool {
         now < self.servers[server].full_until
@@ -448,7 +476,7 @@
     let us = span.0.clamp(1, Span::secs(3_600).0);
     let bits = us.ilog2();
     let rest = us - (1 << bits);
-    i64::from(bits) * DOUBLE + (rest * DOUBLE as u64 >> bits) as i64
+    i64::from(bits) * DOUBLE + ((rest * DOUBLE as u64) >> bits) as i64
 }
 
 fn exp(log: i64) -> Span {
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -5,6 +5,7 @@
 use base::prelude::*;
 use conf::key;
 use member::Group;
+use wire::frame::Speed;
 
 use crate::check;
 use crate::count::Counts;
@@ -202,6 +203,11 @@
         &self.table
     }
 
+    /// Returns the service times of backend servers.
+    pub fn speeds(&self) -> &Speeds {
+        &self.speeds
+    }
+
     /// Returns the number of flows in the flow table.
     pub fn flows(&self) -> usize {
         self.flows.len()
@@ -251,6 +257,16 @@
         load::report_period(peer::domain_peers(self).count() as u64)
     }
 
+    /// Applies the service times that a balancer of the own failure domain reports. Links differ
+    /// between domains, and so do service times. A forged sender adds no state.
+    pub(crate) fn apply_speeds(&mut self, from: Incarnation, speeds: &[Speed]) {
+        let sender = self.group.get(from);
+        if sender.is_some_and(|member| member.domain == self.setting.domain) {
+            self.speeds
+                .apply_report(self.now, from, speeds, &self.table);
+        }
+    }
+
     /// Adds a flow. Returns whether there was room.
     pub(crate) fn insert_flow(&mut self, id: Id, flow: Flow) -> bool {
         let is_inserted = self.flows.insert(id, flow);
--- a/crates/forward/src/tick.rs
+++ b/crates/forward/src/tick.rs
@@ -1,5 +1,7 @@
 //! Timers, reads of the platform, and how their results are put in force.
 
+use std::net::SocketAddr;
+
 use base::prelude::*;
 use conf::object::Body;
 use conf::object::Kind;
@@ -212,10 +214,43 @@
         let report = load::build_report(&mut state.table, now, now < state.repeat_until);
         report::publish(state, report, out);
     }
+    review_speeds(state, out);
     let mut rows = state.table.servers();
     state.has_urgent_evidence = rows.any(|(_, row)| row.is_present() && row.health.is_urgent());
 }
 
+/// Logs changes of servers' speeds, and sends the slow ones to peers of the failure domain.
+fn review_speeds(state: &mut Forwarder, out: &mut Vec<Effect>) {
+    let Some(review) = state.speeds.review(state.now, &state.table) else {
+        return;
+    };
+    for change in review.changes {
+        if change.is_slow {
+            state.counts.add(count::Kind::Slowed);
+        }
+        out.push(Effect::Note(Note::SlowServer {
+            server: state.table.server(change.server).name.clone(),
+            is_slow: change.is_slow,
+            service: change.service,
+            pool: change.pool,
+        }));
+    }
+    if review.report.is_empty() {
+        return;
+    }
+    let peers: Vec<SocketAddr> = peer::domain_peers(state)
+        .map(|member| member.peer.datagram)
+        .collect();
+    for to in state.speeds.recipients(&peers, review.report.len()) {
+        peer::send_frame(
+            state,
+            to,
+            wire::frame::Body::Speeds(review.report.clone()),
+            out,
+        );
+    }
+}
+
 /// Handles the platform's answer to a read.
 pub(crate) fn handle_read(
     state: &mut Forwarder,
--- a/crates/forward/tests/all/hostile.rs
+++ b/crates/forward/tests/all/hostile.rs
@@ -17,6 +17,7 @@
 use wire::frame::ObjectsRequest;
 use wire::frame::OpenFlows;
 use wire::frame::Patch;
+use wire::frame::Speed;
 use wire::frame::Unresponsive;
 
 use crate::sim::Simulation;
@@ -96,7 +97,12 @@
             is_platform_unreachable: is_unreachable,
         }])
     });
-    prop_oneof![flows, objects, request]
+    let speed = (any::<u32>(), any::<u32>()).prop_map(|(mark, service_us)| Speed {
+        server_hash: mark,
+        service_us,
+    });
+    let speeds = prop::collection::vec(speed, 0..200).prop_map(Body::Speeds);
+    prop_oneof![flows, objects, request, speeds]
 }
 
 proptest! {
--- a/crates/forward/tests/all/sim/caller.rs
+++ b/crates/forward/tests/all/sim/caller.rs
@@ -30,6 +30,8 @@
 const REQUEST_BYTES: u16 = 300;
 /// The size of a response.
 const RESPONSE_BYTES: u32 = 1_000;
+/// The size of a rejection by a server whose queue is full.
+const REJECTION_BYTES: u32 = 120;
 
 /// The outcome of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -375,6 +377,7 @@
                 }
             }
             (Message::Shed, Phase::Open { token, .. }) => {
+                self.requests[index as usize].ack += REJECTION_BYTES;
                 self.send_end(index, token, true);
                 // The request was not run, so it may be retried even if it is not idempotent.
                 self.requests[index as usize].phase = Phase::Over;
--- a/crates/forward/tests/all/sim/server.rs
+++ b/crates/forward/tests/all/sim/server.rs
@@ -59,6 +59,8 @@
     pub(crate) cold_until: Time,
     /// The factor on the time that its requests take.
     pub(crate) slowdown: u64,
+    /// The share of its requests that take 7 times as long, in percent.
+    pub(crate) long_percent: u32,
     /// Counts its restarts.
     pub(crate) incarnation: u32,
     /// The flows by caller address.
@@ -94,6 +96,11 @@
         !matches!(self.status, Status::Stopped)
     }
 
+    /// Returns the number of requests that it runs or queues.
+    pub(crate) fn held(&self) -> usize {
+        self.running + self.waiting.len()
+    }
+
     /// Returns whether the server answers packets.
     pub(crate) fn is_responsive(&self) -> bool {
         matches!(self.status, Status::Serving | Status::Draining(_))
@@ -128,6 +135,7 @@
             status: Status::Serving,
             cold_until: super::START,
             slowdown: 1,
+            long_percent: 0,
             incarnation: 0,
             flows: BTreeMap::new(),
             data_seqs: BTreeMap::new(),
@@ -306,18 +314,27 @@
             return state.waiting.push_back(flow);
         }
         state.shed += 1;
-        self.send_to_caller(server, flow, Message::Shed);
+        let packet = caller::Packet {
+            to: flow,
+            from: Some(server),
+            message: Message::Shed,
+        };
+        let latency = Span(CALLER_LATENCY.0 + self.rejection_delay.0);
+        self.schedule(latency, Task::CallerPacket(packet));
     }
 
     fn start_run(&mut self, server: usize, flow: SocketAddrV4) {
         let percent = self.random.random_range(50..150);
+        let long_percent = self.servers[server].long_percent;
+        let is_long = long_percent > 0 && self.random.random_range(0..100) < long_percent;
+        let length = if is_long { 7 } else { 1 };
         let state = &mut self.servers[server];
         state.running += 1;
         state.runs += 1;
         let is_cold = self.now < state.cold_until;
         // A cold server takes 1.6 times as long.
         let cold = if is_cold { 16 } else { 10 };
-        let work = Span(RUN_TIME_MEAN.0 * state.slowdown * percent / 100 * cold / 10);
+        let work = Span(RUN_TIME_MEAN.0 * state.slowdown * length * percent / 100 * cold / 10);
         let incarnation = state.incarnation;
         self.record_run(flow);
         let task = Task::RunDone {
--- a/crates/shell/src/packets/trace.rs
+++ b/crates/shell/src/packets/trace.rs
@@ -165,6 +165,18 @@
             server,
             by = by.map_or_else(|| "itself".to_owned(), |by| by.to_string()),
         ),
+        Note::SlowServer {
+            server,
+            is_slow,
+            service,
+            pool,
+        } => tracing::info!(
+            event = "server-slow",
+            server,
+            is_slow,
+            service_us = service.0,
+            pool_us = pool.0,
+        ),
         Note::Unreachable { server } => tracing::warn!(event = "server-lost", server),
         Note::Reset { flow, server } => tracing::info!(
             event = "flow-given-up",
@@ -227,6 +239,7 @@
     }
 }
 
+/// Returns whether the number of these lines depends on the load.
 fn is_flow_note(note: &Note) -> bool {
     matches!(
         note,
@@ -236,5 +249,6 @@
             | Note::Moved { .. }
             | Note::Expired { .. }
             | Note::Reset { .. }
+            | Note::SlowServer { .. }
     )
 }
--- a/crates/wire/tests/common/mod.rs
+++ b/crates/wire/tests/common/mod.rs
@@ -18,6 +18,7 @@
 use wire::frame::Record;
 use wire::frame::RecordKey;
 use wire::frame::Relay;
+use wire::frame::Speed;
 use wire::frame::Update;
 
 /// Returns a configuration with a fixed seed, so that all runs have the same cases.
@@ -128,6 +129,13 @@
     })
 }
 
+fn speed() -> impl Strategy<Value = Speed> {
+    any::<(u32, u32)>().prop_map(|(server_hash, service_us)| Speed {
+        server_hash,
+        service_us,
+    })
+}
+
 fn handover() -> impl Strategy<Value = Handover> {
     let ownership = (any::<u64>(), any::<u32>()).prop_map(|(owner, term)| Ownership {
         owner: Incarnation(owner),
@@ -161,6 +169,7 @@
         });
     let body = prop_oneof![
         relay().prop_map(Body::Relay),
+        prop::collection::vec(speed(), 0..80).prop_map(Body::Speeds),
         handover().prop_map(Body::Handover),
         gossip.prop_map(|gossip| Body::Ping { seq: 1, gossip }),
         prop::collection::vec(data(100), 0..8).prop_map(|objects| Body::Delta {
