forward: selection with old reports, and reports of slow servers to all domains

Cause: reports of 16 balancers are 200 ms old, and all of them selected the servers that had the fewest requests then. At half load, 5% of the requests were rejected. Balancers of other domains knew 12% of the slow servers, and tried all slow servers again at the same time.

Change: while most reports are older than a service time, selection counts the mean of the domain's reports and the own requests. Frames Speeds go to balancers of all domains in turn, within 3 KB/s. Estimates fade over 2 to 4 s, by balancer and server. Slow servers return gradually.

--- a/crates/forward/src/select.rs
+++ b/crates/forward/src/select.rs
@@ -8,9 +8,10 @@
 //! that balancers with the same data spread their flows.
 //!
 //! Reports that are older than a service time say little about a free slot, and all balancers of a
-//! large domain would select the server that had the fewest requests then. Servers that differ by
-//! less than one request per slot therefore look equal, and the requests of this balancer decide,
-//! which it knows exactly.
+//! large domain would select the server that had the fewest requests then. The mean of the reports
+//! over a failure domain still holds, and is counted for each of its servers. The requests of this
+//! balancer are added, which it knows exactly, and ties are broken by the hash of the flow and the
+//! balancer.
 //!
 //! The caller of a retransmitted opening packet has waited for 200 ms or more, which most callers
 //! aim for as their latency. While all servers are saturated, as when balancers return and all
@@ -20,6 +21,7 @@
 use base::hash;
 use base::prelude::*;
 use conf::key;
+use cranelift_entity::SecondaryMap;
 
 use crate::flow::Basis;
 use crate::load;
@@ -37,6 +39,13 @@
 /// balancers in a domain are newer, and so few do not select the same server at once.
 const OLD_REPORT_AGE_MIN: Span = Span::millis(50);
 
+/// The deviation of a server's reported requests per slot that counts while reports are old. Less
+/// changes several times before the next report.
+const OLD_REPORT_STEP: u64 = 2 * UNIT_COST;
+
+/// The mean of the reported requests per slot in each failure domain.
+type Means = SecondaryMap<key::Domain, u64>;
+
 /// The inputs of a selection.
 pub struct Selector<'a> {
     /// The routes, pools and servers in force.
@@ -74,15 +83,15 @@
     Unavailable,
 }
 
-/// The sort key, least first: suspected servers last, then by cost, by own requests if reports are
-/// old, by open flows and by hash.
-type Rank = (bool, u64, u64, u64, u64, key::Server);
+/// The sort key, least first: suspected servers last, then by cost, by open flows unless reports are
+/// old, and by hash.
+type Rank = (bool, u64, u64, u64, key::Server);
 
 impl Selector<'_> {
     /// Selects a server of the pool. `owns_cold` returns whether this balancer opens flows at a
     /// cold server.
     pub fn select(&self, pool: key::Pool, owns_cold: impl Fn(key::Server) -> bool) -> Selection {
-        let has_old_reports = self.has_old_reports(pool);
+        let means = self.reported_means(pool);
         let mut best: Option<Rank> = None;
         let mut candidates = 0u16;
         let (mut is_cold_limited, mut has_unresponsive, mut has_saturated) = (false, false, false);
@@ -104,7 +113,7 @@
                 continue;
             }
             candidates = candidates.saturating_add(1);
-            let rank = self.rank(server, has_old_reports);
+            let rank = self.rank(server, means.as_ref());
             if best.is_none_or(|best| rank < best) {
                 best = Some(rank);
             }
@@ -118,20 +127,60 @@
         }
     }
 
-    fn rank(&self, server: key::Server, has_old_reports: bool) -> Rank {
+    fn rank(&self, server: key::Server, means: Option<&Means>) -> Rank {
         let row = self.table.server(server);
-        let is_suspected = row.health.is_suspected();
-        let mark = u64::from(row.mark.0);
-        let flows = per_slot(row.open_flows, row.slots);
-        let cost = self.cost(server);
-        if !has_old_reports {
-            let tie = route::rendezvous::score(self.flow, mark);
-            return (is_suspected, cost, 0, flows, tie, server);
+        let (flow, cost) = match means {
+            // Flows that arrive at several balancers at the same time spread as well.
+            Some(means) => (
+                hash::pair(self.flow, self.balancer.0),
+                self.cost_by_old_reports(server, means),
+            ),
+            None => (self.flow, self.cost(server)),
+        };
+        let tie = route::rendezvous::score(flow, u64::from(row.mark.0));
+        let flows = match means {
+            // A slow server that is tried again has fewer flows of each balancer than others.
+            Some(_) => 0,
+            None => per_slot(row.open_flows, row.slots),
+        };
+        (row.health.is_suspected(), cost, flows, tie, server)
+    }
+
+    /// Returns the mean of the reported requests per slot at the servers of each failure domain, if
+    /// reports are old.
+    fn reported_means(&self, pool: key::Pool) -> Option<Means> {
+        if !self.has_old_reports(pool) {
+            return None;
+        }
+        let mut sums: SecondaryMap<key::Domain, (u32, u32)> = SecondaryMap::new();
+        for &server in &self.table.pool(pool).servers {
+            if self.is_eligible(server) {
+                let row = self.table.server(server);
+                let (requests, slots) = &mut sums[row.domain];
+                *requests = requests.saturating_add(self.loads.requests(server));
+                *slots = slots.saturating_add(row.slots);
+            }
+        }
+        let mut means = Means::new();
+        for (domain, &(requests, slots)) in sums.iter() {
+            means[domain] = per_slot(requests, slots);
         }
-        let own = per_slot(row.requests, row.slots);
-        // Flows that arrive at several balancers at the same time spread as well.
-        let tie = route::rendezvous::score(hash::pair(self.flow, self.balancer.0), mark);
-        (is_suspected, cost / UNIT_COST, own, flows, tie, server)
+        Some(means)
+    }
+
+    /// Returns the cost of a server while reports are old. Their mean over the failure domain still
+    /// holds. Of the server's own deviation from it, only what exceeds `OLD_REPORT_STEP` counts.
+    fn cost_by_old_reports(&self, server: key::Server, means: &Means) -> u64 {
+        let row = self.table.server(server);
+        let mean = means[row.domain];
+        let reported = per_slot(self.loads.requests(server), row.slots);
+        let excess = reported.saturating_sub(mean) / OLD_REPORT_STEP * OLD_REPORT_STEP;
+        let deficit = mean.saturating_sub(reported) / OLD_REPORT_STEP * OLD_REPORT_STEP;
+        let waiting = per_slot(row.requests, row.slots) + mean + excess - deficit;
+        let full = per_slot(load::capacity(row.slots), row.slots);
+        let implied = self.speeds.implied_requests(self.now, server, row.slots);
+        let waiting = waiting.min(full).max(per_slot(implied, row.slots));
+        self.delay(server, waiting) + self.domain_cost(server)
     }
 
     /// Returns whether most reports are older than a request takes.
@@ -192,15 +241,23 @@
     }
 
     fn cost(&self, server: key::Server) -> u64 {
-        let row = self.table.server(server);
-        let is_remote = self.table.domain(row.domain).name != self.local_domain;
-        let waiting = per_slot(self.requests(server), row.slots);
+        let slots = self.table.server(server).slots;
+        self.delay(server, per_slot(self.requests(server), slots)) + self.domain_cost(server)
+    }
+
+    /// Returns the expected time to an answer of a server with this many requests per slot, in
+    /// requests per slot at a server of usual speed.
+    fn delay(&self, server: key::Server, waiting: u64) -> u64 {
         let slowdown = self.speeds.slowdown(self.now, server);
         // The request itself takes longer as well, also at a server without others.
         let excess = slowdown - speed::UNIT_SLOWDOWN;
-        waiting * slowdown / speed::UNIT_SLOWDOWN
-            + excess * UNIT_COST / speed::UNIT_SLOWDOWN
-            + u64::from(is_remote) * REMOTE_DOMAIN_COST
+        waiting * slowdown / speed::UNIT_SLOWDOWN + excess * UNIT_COST / speed::UNIT_SLOWDOWN
+    }
+
+    fn domain_cost(&self, server: key::Server) -> u64 {
+        let domain = self.table.server(server).domain;
+        let is_remote = self.table.domain(domain).name != self.local_domain;
+        u64::from(is_remote) * REMOTE_DOMAIN_COST
     }
 
     fn basis(&self, server: key::Server, candidates: u16) -> Basis {
--- a/crates/forward/src/speed.rs
+++ b/crates/forward/src/speed.rs
@@ -1,7 +1,7 @@
 //! Service times of backend servers, estimated from the answers that callers acknowledge.
 //!
 //! The time of an answer is divided by the number of requests that were ahead of it, which gives
-//! the service time. A server's estimate is the mean of the logarithms of its answers relative to
+//! the service time. It includes the latency of the links. A server's estimate is the mean of the logarithms of its answers relative to
 //! the pool, together with the estimates that peers report and with `PRIOR` answers at the pool's
 //! time. Single long requests therefore make no server slow. Without answers the estimate returns
 //! to the pool's, so that a server that recovers is tried.
@@ -16,6 +16,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use base::hash;
 use base::prelude::*;
 use conf::key;
 use cranelift_entity::SecondaryMap;
@@ -26,12 +27,20 @@
 use crate::table::Table;
 use crate::token::Mark;
 
+mod mean;
+
+use mean::exp;
+use mean::log;
+use mean::Mean;
+use mean::ANSWER;
+use mean::DOUBLE;
+
 /// The shortest period between two reports of one balancer. A few reports arrive within the time in
 /// which an estimate fades.
 pub const REPORT_PERIOD: Span = Span::millis(200);
-/// How long a peer's report counts. Peers are served in turn (`recipients`), so that it outlasts
-/// several periods.
-pub const REPORT_LIFETIME: Span = Span::secs(1);
+/// How long a peer's report counts, as a load report. Peers are served in turn (`recipients`), so that
+/// it outlasts several periods.
+pub const REPORT_LIFETIME: Span = Span::millis(1_500);
 /// Bounds the number of servers in a report.
 pub const REPORT_SERVERS_MAX: usize = 60;
 /// Bounds the size of the reports of one period in bytes: 3 KB/s, a quarter of the control budget of
@@ -41,12 +50,15 @@
 const REPORT_BYTES: usize = 40;
 /// The size of a server in a report, in bytes.
 const REPORT_SERVER_BYTES: usize = 9;
-/// The time without answers over which a server's estimate returns to the pool's.
-pub const FADE_TIME: Span = Span::secs(2);
+/// The shortest time without answers over which a server's estimate returns to the pool's.
+pub const FADE_TIME_MIN: Span = Span::secs(2);
+/// Bounds the part of that time which differs by balancer and server, so that not all balancers try
+/// a slow server at once. The report of the first one keeps the others from it.
+pub const FADE_TIME_SPREAD: Span = Span::secs(2);
 /// The shortest time for which a request counts while its answer is due.
 pub const ANSWER_TIMEOUT_MIN: Span = Span::millis(250);
-/// The longest time for which a server counts as full after a rejection. Others that reject then
-/// have had time to drain as well.
+/// The longest time for which a server counts as full after a rejection. A caller that waits for
+/// its answer still meets a target of 300 ms if the server has become free by then.
 pub const FULL_TIME_MAX: Span = Span::millis(250);
 /// The service time that is assumed before any answer. Its multiple for a full queue is
 /// `ANSWER_TIMEOUT_MIN`.
@@ -54,22 +66,15 @@
 /// The factor of an unchanged speed (`Speeds::slowdown`), in thousandths.
 pub const UNIT_SLOWDOWN: u64 = 1_000;
 
-/// The unit of logarithms: a factor of 2. A server is slow from this factor on, since service times
-/// of equal servers vary by less.
-const DOUBLE: i64 = 256;
 /// The deviation below which a slow server no longer is, a factor of 1.25. Its flows return
 /// gradually while its estimate fades, instead of all at once.
 const RECOVERED: i64 = DOUBLE / 4;
-/// Bounds the deviation of one answer from the pool's time, a factor of 8, so that a lost packet
+/// Bounds the deviation of one answer from the pool's time, a factor of 7, so that a lost packet
 /// counts no more than a long request.
-const DEVIATION_MAX: i64 = 3 * DOUBLE;
-/// The unit of weights: one answer.
-const ANSWER: i64 = 256;
+const DEVIATION_MAX: i64 = DOUBLE * 11 / 4;
 /// The number of answers at the pool's time that each estimate includes. One answer of the largest
-/// deviation gives a factor of 1.7; three that take 5 times as long make a server slow.
-const PRIOR: i64 = 3;
-/// Bounds the weight of a server's own answers, so that a change shows after as many.
-const SERVER_ANSWERS_MAX: i64 = 8;
+/// deviation gives a factor of 1.9; two that take 5 times as long make a server slow.
+const PRIOR: i64 = 2;
 /// Bounds the weight of the pool's answers: it follows its servers slowly, so that a change of some
 /// shows as their deviation.
 const POOL_ANSWERS_MAX: i64 = 64;
@@ -83,14 +88,6 @@
 /// Bounds the size of an answer. The first acknowledgement covers two packets.
 const SIZE_MAX: u32 = 4_096;
 
-/// A mean of deviations that fades over `FADE_TIME`.
-#[derive(Clone, Copy, Debug, Default)]
-struct Mean {
-    sum: i64,
-    weight: i64,
-    updated_at: Time,
-}
-
 /// What is known of a server.
 #[derive(Clone, Copy, Debug, Default)]
 struct Server {
@@ -156,32 +153,14 @@
     /// The servers with answers, reports or a state that may change.
     active: BTreeSet<key::Server>,
     reports: BTreeMap<Incarnation, Report>,
+    /// The incarnation of this balancer.
+    balancer: u64,
     reviewed_at: Time,
-    /// The number of reports that were sent, which selects the next recipients.
-    sent: usize,
-}
-
-impl Mean {
-    fn faded(self, now: Time) -> Mean {
-        let left = FADE_TIME.0.saturating_sub(now.since(self.updated_at).0) as i64;
-        let fade = |value: i64| value * left / FADE_TIME.0 as i64;
-        Mean {
-            sum: fade(self.sum),
-            weight: fade(self.weight),
-            updated_at: now,
-        }
-    }
-
-    fn add(&mut self, now: Time, deviation: i64) {
-        *self = self.faded(now);
-        self.sum += deviation * ANSWER;
-        self.weight += ANSWER;
-        let weight_max = SERVER_ANSWERS_MAX * ANSWER;
-        if self.weight > weight_max {
-            self.sum = self.sum * weight_max / self.weight;
-            self.weight = weight_max;
-        }
-    }
+    /// The number of reports that were sent in the own domain and in others, which selects the next
+    /// recipients.
+    sent: [usize; 2],
+    /// The number of periods with a report.
+    turn: usize,
 }
 
 impl Pool {
@@ -220,6 +199,12 @@
 }
 
 impl Speeds {
+    /// Sets the balancer that estimates.
+    pub fn with_balancer(mut self, balancer: Incarnation) -> Speeds {
+        self.balancer = balancer.0;
+        self
+    }
+
     /// Records an answer that took `took` from the request's last data, with `ahead` requests before
     /// it at a server of `slots` slots.
     pub fn record(
@@ -244,6 +229,8 @@
         }
         entry.pool = Some(pool);
         let deviation = (sample - base).clamp(-DEVIATION_MAX, DEVIATION_MAX);
+        let spread = hash::pair(self.balancer, server.as_u32().into()) % FADE_TIME_SPREAD.0;
+        entry.own.fade_time = Span(FADE_TIME_MIN.0 + spread);
         entry.own.add(now, deviation);
         self.active.insert(server);
     }
@@ -456,31 +443,25 @@
     }
 
     /// Selects the recipients of a report in turn, as many as fit `REPORT_BYTES_PER_PERIOD`, so that
-    /// the bandwidth does not grow with the failure domain. Each balancer then still has the reports
-    /// of several others.
-    pub fn recipients<T: Copy>(&mut self, peers: &[T], servers: usize) -> Vec<T> {
+    /// the bandwidth does not grow with the deployment. Half of them are in other failure domains,
+    /// whose balancers see few answers of these servers and would try slow ones over and over.
+    pub fn recipients<T: Copy>(&mut self, local: &[T], remote: &[T], servers: usize) -> Vec<T> {
         let size = REPORT_BYTES + servers * REPORT_SERVER_BYTES;
-        let count = (REPORT_BYTES_PER_PERIOD / size).clamp(1, peers.len().max(1));
-        let start = self.sent;
-        self.sent = self.sent.wrapping_add(count);
-        let turn = peers.iter().copied().cycle();
-        let skipped = start.checked_rem(peers.len()).unwrap_or_default();
-        turn.skip(skipped).take(count.min(peers.len())).collect()
+        let frames = (REPORT_BYTES_PER_PERIOD / size).max(1);
+        // With an odd number of frames, the two take turns with one more.
+        self.turn = self.turn.wrapping_add(1);
+        let local_frames = match remote.is_empty() {
+            true => frames,
+            false => (frames + self.turn % 2) / 2,
+        };
+        let mut recipients = Vec::new();
+        let parts = [(local, local_frames), (remote, frames - local_frames)];
+        for ((peers, count), sent) in parts.into_iter().zip(&mut self.sent) {
+            let skipped = sent.checked_rem(peers.len()).unwrap_or_default();
+            *sent = sent.wrapping_add(count);
+            let turn = peers.iter().copied().cycle().skip(skipped);
+            recipients.extend(turn.take(count.min(peers.len())));
+        }
+        recipients
     }
 }
-
-/// Returns the binary logarithm in 1/`DOUBLE`, linear between powers of two. A doubled value gives
-/// exactly `DOUBLE` more, and `exp` is the inverse.
-fn log(span: Span) -> i64 {
-    // An hour bounds the products below.
-    let us = span.0.clamp(1, Span::secs(3_600).0);
-    let bits = us.ilog2();
-    let rest = us - (1 << bits);
-    i64::from(bits) * DOUBLE + ((rest * DOUBLE as u64) >> bits) as i64
-}
-
-fn exp(log: i64) -> Span {
-    let (bits, rest) = (log.div_euclid(DOUBLE), log.rem_euclid(DOUBLE) as u64);
-    let whole = 1u64 << bits.clamp(0, 40);
-    Span(whole + whole * rest / DOUBLE as u64)
-}
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -62,14 +62,16 @@
 impl Forwarder {
     /// Returns a balancer without any replicated state.
     pub fn new(setting: Setting, now: Time) -> Forwarder {
+        let group = peer::new_group(&setting, now);
+        let speeds = Speeds::default().with_balancer(group.local().incarnation);
         Forwarder {
-            group: peer::new_group(&setting, now),
+            group,
             setting,
             now,
             table: Table::default(),
             flows: Flows::default(),
             loads: Loads::default(),
-            speeds: Speeds::default(),
+            speeds,
             feeds: Feeds::default(),
             counts: Counts::default(),
             was_ready: false,
@@ -257,11 +259,9 @@
         load::report_period(peer::domain_peers(self).count() as u64)
     }
 
-    /// Applies the service times that a balancer of the own failure domain reports. Links differ
-    /// between domains, and so do service times. A forged sender adds no state.
+    /// Applies the service times that a member reports. A forged sender adds no state.
     pub(crate) fn apply_speeds(&mut self, from: Incarnation, speeds: &[Speed]) {
-        let sender = self.group.get(from);
-        if sender.is_some_and(|member| member.domain == self.setting.domain) {
+        if self.group.get(from).is_some() {
             self.speeds
                 .apply_report(self.now, from, speeds, &self.table);
         }
--- a/crates/forward/src/tick.rs
+++ b/crates/forward/src/tick.rs
@@ -219,7 +219,7 @@
     state.has_urgent_evidence = rows.any(|(_, row)| row.is_present() && row.health.is_urgent());
 }
 
-/// Logs changes of servers' speeds, and sends the slow ones to peers of the failure domain.
+/// Logs changes of servers' speeds, and sends the slow ones to peers.
 fn review_speeds(state: &mut Forwarder, out: &mut Vec<Effect>) {
     let Some(review) = state.speeds.review(state.now, &state.table) else {
         return;
@@ -238,10 +238,16 @@
     if review.report.is_empty() {
         return;
     }
-    let peers: Vec<SocketAddr> = peer::domain_peers(state)
+    let local: Vec<SocketAddr> = peer::domain_peers(state)
         .map(|member| member.peer.datagram)
         .collect();
-    for to in state.speeds.recipients(&peers, review.report.len()) {
+    let members = state.group.members();
+    let remote: Vec<SocketAddr> = members
+        .filter(|member| member.state.is_live() && member.domain != state.setting.domain)
+        .map(|member| member.peer.datagram)
+        .collect();
+    let servers = review.report.len();
+    for to in state.speeds.recipients(&local, &remote, servers) {
         peer::send_frame(
             state,
             to,
