--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -5,6 +5,7 @@
 use base::prelude::*;
 use conf::key;
 use member::Group;
+use wire::frame::Speed;
 
 use crate::check;
 use crate::contact::Contacts;
@@ -27,6 +28,7 @@
 use crate::report;
 use crate::role::Role;
 use crate::setting::Setting;
+use crate::speed::Speeds;
 use crate::table;
 use crate::table::Table;
 use crate::tick;
@@ -39,6 +41,7 @@
     pub(crate) table: Table,
     pub(crate) flows: Flows,
     pub(crate) loads: Loads,
+    pub(crate) speeds: Speeds,
     pub(crate) feeds: Feeds,
     pub(crate) group: Group,
     pub(crate) counts: Counts,
@@ -68,13 +71,16 @@
 impl Forwarder {
     /// Returns a balancer without any replicated state.
     pub fn new(setting: Setting, now: Time) -> Forwarder {
+        let group = peer::new_group(&setting, now);
+        let speeds = Speeds::default().with_balancer(group.local().incarnation);
         Forwarder {
-            group: peer::new_group(&setting, now),
+            group,
             setting,
             now,
             table: Table::default(),
             flows: Flows::default(),
             loads: Loads::default(),
+            speeds,
             feeds: Feeds::default(),
             counts: Counts::default(),
             contacts: Contacts::default(),
@@ -211,6 +217,11 @@
         &self.table
     }
 
+    /// Returns the service times of backend servers.
+    pub fn speeds(&self) -> &Speeds {
+        &self.speeds
+    }
+
     /// Returns the number of flows in the flow table.
     pub fn flows(&self) -> usize {
         self.flows.len()
@@ -260,6 +271,14 @@
         load::report_period(peer::domain_peers(self).count() as u64)
     }
 
+    /// Applies the service times that a member reports. A forged sender adds no state.
+    pub(crate) fn apply_speeds(&mut self, from: Incarnation, speeds: &[Speed]) {
+        if self.group.get(from).is_some() {
+            self.speeds
+                .apply_report(self.now, from, speeds, &self.table);
+        }
+    }
+
     /// Adds a flow. Returns whether there was room.
     pub(crate) fn insert_flow(&mut self, id: Id, flow: Flow) -> bool {
         let is_inserted = self.flows.insert(id, flow);
--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -13,3 +13,4 @@
 mod sim;
 mod table;
 mod token;
+mod uneven;
