conf, platform: decode type, times and priority of routes

The fields routeType, timeoutMs, targetLatencyMs and priority of routes were not decoded, so no decision could depend on them.

They are optional in the platform's entry and in the spec that balancers exchange. The spec leaves out defaults, since earlier releases reject unknown fields.

--- a/crates/conf/src/object.rs
+++ b/crates/conf/src/object.rs
@@ -20,8 +20,11 @@
 pub use crate::routing::Route;
 pub use crate::routing::Routing;
 pub use crate::routing::Share;
+pub use crate::routing::Traffic;
 pub use crate::routing::DEFAULT_CHECK_PATH;
 pub use crate::routing::DEFAULT_IDLE_MS;
+pub use crate::routing::DEFAULT_TARGET_MS;
+pub use crate::routing::DEFAULT_TIMEOUT_MS;
 use crate::spec;
 
 /// Maximum length of the name of an object, in bytes.
--- a/crates/conf/src/routing.rs
+++ b/crates/conf/src/routing.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
+use strum::EnumString;
+use strum::IntoStaticStr;
 
 use crate::spec;
 
@@ -10,6 +12,27 @@
 pub const DEFAULT_CHECK_PATH: &str = "/health";
 /// Idle time-out of flows, in milliseconds, of a routing that sets none.
 pub const DEFAULT_IDLE_MS: u32 = 15_000;
+/// Deadline of requests on a route that sets none, in milliseconds. Most routes of the deployments
+/// seen so far have this value.
+pub const DEFAULT_TIMEOUT_MS: u32 = 2_000;
+/// Target latency of requests on a route that sets none, in milliseconds. Most routes of the
+/// deployments seen so far have this value or a shorter one.
+pub const DEFAULT_TARGET_MS: u32 = 300;
+
+/// Kind of the requests on a route, which decides when callers may repeat one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, EnumString, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Traffic {
+    /// A request may run several times.
+    Idempotent,
+    /// A request must run at most once. The default, since it permits the least.
+    #[default]
+    NonIdempotent,
+    /// Requests with large bodies.
+    Upload,
+    /// Responses with large bodies.
+    Download,
+}
 
 /// Routing of packet flows.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -29,6 +52,47 @@
     pub address: SocketAddr,
     /// Pools and their weights.
     pub shares: Vec<Share>,
+    /// Urgency of its requests. 0 is the most urgent.
+    pub priority: u8,
+    /// Time after which callers no longer wait for a response.
+    pub timeout: Span,
+    /// Time within which callers want a response.
+    pub target: Span,
+    /// Kind of its requests.
+    pub kind: Traffic,
+}
+
+impl Route {
+    /// Returns a route with defaults for the rest.
+    pub fn new(address: impl Into<SocketAddr>, shares: Vec<Share>) -> Route {
+        Route {
+            address: address.into(),
+            shares,
+            priority: 0,
+            timeout: Span::millis(DEFAULT_TIMEOUT_MS.into()),
+            target: Span::millis(DEFAULT_TARGET_MS.into()),
+            kind: Traffic::default(),
+        }
+    }
+
+    /// Sets the urgency of its requests.
+    pub fn with_priority(mut self, priority: u8) -> Route {
+        self.priority = priority;
+        self
+    }
+
+    /// Sets the time within which callers want a response.
+    pub fn with_target(mut self, target: Span) -> Route {
+        self.target = target;
+        self
+    }
+}
+
+impl Traffic {
+    /// Returns the name of the kind.
+    pub fn name(self) -> &'static str {
+        self.into()
+    }
 }
 
 /// The weight of a pool among the new flows of a route.
@@ -62,6 +126,14 @@
         let route = |route: spec::Route| Route {
             address: route.address,
             shares: route.shares.into_iter().map(share).collect(),
+            priority: route.priority.unwrap_or_default(),
+            timeout: Span::millis(route.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS).into()),
+            target: Span::millis(route.target_ms.unwrap_or(DEFAULT_TARGET_MS).into()),
+            // A balancer of a later release can send a kind that this one does not have.
+            kind: route
+                .kind
+                .and_then(|name| name.parse().ok())
+                .unwrap_or_default(),
         };
         let pool = |pool: spec::Pool| Pool {
             name: pool.name,
@@ -84,9 +156,17 @@
             pool: share.pool.clone(),
             weight: share.weight,
         };
+        // Balancers of earlier releases reject routes with these fields, so that defaults are left
+        // out.
         let route = |route: &Route| spec::Route {
             address: route.address,
             shares: route.shares.iter().map(share).collect(),
+            priority: Some(route.priority).filter(|&priority| priority != 0),
+            timeout_ms: Some(millis(route.timeout)).filter(|&ms| ms != DEFAULT_TIMEOUT_MS),
+            target_ms: Some(millis(route.target)).filter(|&ms| ms != DEFAULT_TARGET_MS),
+            kind: Some(route.kind)
+                .filter(|&kind| kind != Traffic::default())
+                .map(|kind| kind.name().to_owned()),
         };
         let pool = |pool: &Pool| spec::Pool {
             name: pool.name.clone(),
--- a/crates/conf/src/spec.rs
+++ b/crates/conf/src/spec.rs
@@ -80,6 +80,14 @@
 pub(crate) struct Route {
     pub(crate) address: SocketAddr,
     pub(crate) shares: Vec<Share>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) priority: Option<u8>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) timeout_ms: Option<u32>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) target_ms: Option<u32>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) kind: Option<String>,
 }
 
 /// The weight of one pool in a `Route`.
--- a/crates/conf/tests/all/object.rs
+++ b/crates/conf/tests/all/object.rs
@@ -81,6 +81,52 @@
     });
 }
 
+const OLD_ROUTE: &str = r#"{"address":"198.18.0.1:443","shares":[{"pool":"p","weight":1}]}"#;
+
+fn routing(route: &str) -> object::Routing {
+    let spec = format!(r#"{{"routes":[{route}],"pools":[]}}"#);
+    let raw = make::object("Routing", "main", 1, "", &spec);
+    match Object::try_from(&raw).expect("a valid routing").body {
+        Body::Routing(routing) => routing,
+        body => panic!("{body:?} is no routing"),
+    }
+}
+
+/// Guards against a routing of an earlier release that can no longer be read, and against new
+/// fields in a routing that has no need of them, which earlier releases reject.
+#[test]
+fn a_route_with_defaults_is_encoded_as_by_earlier_releases() {
+    let routing = routing(OLD_ROUTE);
+    let shares = routing.routes[0].shares.clone();
+    let address: std::net::SocketAddr = "198.18.0.1:443".parse().expect("an address");
+    assert_eq!(routing.routes, [object::Route::new(address, shares)]);
+    let spec = raw::Spec::from(&Body::Routing(routing));
+    assert!(spec.0.contains(OLD_ROUTE), "{}", spec.0);
+}
+
+/// Guards against a field that is lost or changed between two balancers.
+#[test]
+fn a_route_keeps_its_fields_between_balancers() {
+    let fields = r#","priority":2,"timeout_ms":6000,"target_ms":800,"kind":"upload"}"#;
+    let text = OLD_ROUTE.replace("]}", &format!("]{fields}"));
+    let routing = routing(&text);
+    let route = &routing.routes[0];
+    assert_eq!((route.priority, route.kind), (2, object::Traffic::Upload));
+    assert_eq!(
+        (route.timeout, route.target),
+        (Span::secs(6), Span::millis(800))
+    );
+    let spec = raw::Spec::from(&Body::Routing(routing));
+    assert!(spec.0.contains(&text), "{}", spec.0);
+}
+
+/// Guards against a kind of a later release that makes the whole routing unusable.
+#[test]
+fn a_route_of_an_unknown_kind_has_the_default() {
+    let routing = routing(&OLD_ROUTE.replace("]}", r#"],"kind":"mirror"}"#));
+    assert_eq!(routing.routes[0].kind, object::Traffic::NonIdempotent);
+}
+
 #[test]
 fn report_with_unknown_fields_and_codes_is_accepted() {
     let spec = r#"{"balancers": [{"name": "b", "incarnation": 7, "admin": "127.0.0.1:9",
--- a/crates/forward/src/table.rs
+++ b/crates/forward/src/table.rs
@@ -53,6 +53,14 @@
     shares: Vec<(key::Pool, u32)>,
     /// The sum of the weights.
     total: u64,
+    /// Urgency of its requests. 0 is the most urgent.
+    pub priority: u8,
+    /// Time after which callers no longer wait for a response.
+    pub timeout: Span,
+    /// Time within which callers want a response.
+    pub target: Span,
+    /// Kind of its requests.
+    pub kind: object::Traffic,
 }
 
 /// A failure domain.
@@ -190,7 +198,15 @@
                 .map(|share| (self.intern_pool(&share.pool), share.weight))
                 .collect();
             let total = shares.iter().map(|&(_, weight)| u64::from(weight)).sum();
-            self.routes.insert(address, Route { shares, total });
+            let route = Route {
+                shares,
+                total,
+                priority: route.priority,
+                timeout: route.timeout,
+                target: route.target,
+                kind: route.kind,
+            };
+            self.routes.insert(address, route);
         }
     }
 
--- a/crates/forward/tests/all/sim/store.rs
+++ b/crates/forward/tests/all/sim/store.rs
@@ -80,10 +80,7 @@
             pool: POOL.into(),
             weight: 1,
         };
-        let route = object::Route {
-            address: SERVICE.into(),
-            shares: vec![share],
-        };
+        let route = object::Route::new(SERVICE, vec![share]);
         let pool = object::Pool {
             name: POOL.into(),
             cold_per_minute: 0,
--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -84,12 +84,12 @@
 }
 
 fn routing(size: Size) -> raw::Object {
-    let route = |number: usize| object::Route {
-        address: SocketAddr::V4(service(number)),
-        shares: vec![object::Share {
+    let route = |number: usize| {
+        let share = object::Share {
             pool: format!("p{number}"),
             weight: 1,
-        }],
+        };
+        object::Route::new(service(number), vec![share])
     };
     let pool = |number: usize| object::Pool {
         name: format!("p{number}"),
--- a/crates/plat/src/response.rs
+++ b/crates/plat/src/response.rs
@@ -21,7 +21,7 @@
     pub unreadable: Vec<Unreadable>,
 }
 
-/// An entry that could not be decoded as an object.
+/// An entry that could not be decoded as an object, or only with defaults for some fields.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Unreadable {
     /// The requested kind.
@@ -30,7 +30,7 @@
     pub name: String,
     /// Its version, 0 if that cannot be decoded either.
     pub version: u64,
-    /// Why the entry could not be decoded.
+    /// Why the entry, or which of its fields, could not be decoded.
     pub reason: String,
 }
 
