--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -15,6 +15,7 @@
 //! - `rate`: smoothed request rate.
 //! - `gate`: all of these combined for one backend server.
 //! - `budget`: retry budgets.
+//! - `share`: division of a capacity between kinds of requests by urgency.
 //! - `timeout`: attribution of response time-outs to a connection or to its server.
 //! - `prelude`: the types that users of this crate import.
 
@@ -30,4 +31,5 @@
 pub mod ramp;
 pub mod rate;
 pub mod setting;
+pub mod share;
 pub mod timeout;
