forward: refuse new flows by urgency while a pool is short of capacity

At 1.3 times the capacity, servers rejected urgent and other requests alike, and most attempts reached a server only to be rejected there.

admission::Gate decides on the first opening packet of a flow. It admits while a slot is estimated to be free, and otherwise by limit::share, with a reset E313 for the rest. Service time, waits, rejections and the rate of answers in time are observed from the acknowledgements of callers. Refusals are counted by priority, logged with their inputs and shown in the dump. The demand of other balancers is an argument, None for now.

--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -106,6 +106,8 @@
     FlowHeld = 311,
     /// Dropped: a copy of an opening packet came while every backend server had its slots taken.
     SlotsTaken = 312,
+    /// Reset: the pool is short of capacity, and the share of the route's priority is used up.
+    Overloaded = 313,
 
     /// The object has an unknown kind.
     UnknownKind = 400,
--- a/crates/forward/src/count.rs
+++ b/crates/forward/src/count.rs
@@ -17,6 +17,16 @@
     Moves,
     /// Opening packets dropped because no server could take them yet.
     Held,
+    /// Flows that were admitted while their pool was short of capacity.
+    AdmittedShort,
+    /// Flows of priority 0 that were refused because their pool was short of capacity.
+    RefusedPriority0,
+    /// The same for priority 1.
+    RefusedPriority1,
+    /// The same for priority 2.
+    RefusedPriority2,
+    /// The same for all greater priorities.
+    RefusedPriorityRest,
     /// Flows without an entry because the table was full.
     Unrecorded,
     /// Packets of open flows that were forwarded.
@@ -45,6 +55,18 @@
 #[derive(Clone, Debug, Default)]
 pub struct Counts([u64; Kind::COUNT]);
 
+impl Kind {
+    /// Returns the counter of refused flows of a priority.
+    pub fn refused(priority: u8) -> Kind {
+        match priority {
+            0 => Kind::RefusedPriority0,
+            1 => Kind::RefusedPriority1,
+            2 => Kind::RefusedPriority2,
+            _ => Kind::RefusedPriorityRest,
+        }
+    }
+}
+
 impl Counts {
     /// Increments a counter.
     pub fn add(&mut self, kind: Kind) {
--- a/crates/forward/src/dump.rs
+++ b/crates/forward/src/dump.rs
@@ -46,6 +46,9 @@
         for (key, row) in self.table.servers() {
             writeln!(f, "{key} {row}, {} open at peers", self.loads.requests(key))?;
         }
+        for line in self.admission.lines(&self.table, self.now) {
+            writeln!(f, "{line}")?;
+        }
         for member in self.group.members() {
             writeln!(f, "{member}")?;
         }
--- a/crates/forward/src/established.rs
+++ b/crates/forward/src/established.rs
@@ -3,6 +3,7 @@
 use base::prelude::*;
 use conf::key;
 
+use crate::admission;
 use crate::check;
 use crate::count::Kind;
 use crate::effect::Effect;
@@ -17,6 +18,10 @@
 use crate::state::Forwarder;
 use crate::token::Token;
 
+/// The longest time from an opening packet to the data of the flow's first request. A handshake
+/// takes some 10 ms.
+const FIRST_REQUEST_DELAY: Span = Span::millis(100);
+
 /// Decides on a packet other than an opening one. Its token names the backend server.
 pub(crate) fn handle_packet(state: &mut Forwarder, head: &Head, out: &mut Vec<Effect>) -> Verdict {
     let Some(server) = state.table.server_by_mark(head.token.mark(head.service)) else {
@@ -55,6 +60,7 @@
         flow.phase = Phase::Open;
         flow.ack = head.ack;
         let took = now.since(flow.opening_sent_at);
+        record_handshake(state, server, took);
         record_answer(state, server, out);
         out.push(Effect::Opened { took });
     }
@@ -106,9 +112,12 @@
     if flow.ack == head.ack {
         return;
     }
+    let bytes = head.ack.wrapping_sub(flow.ack);
     flow.ack = head.ack;
     let (server, was_busy) = (flow.server, std::mem::take(&mut flow.is_busy));
+    let flow = *flow;
     if was_busy {
+        observe_answer(state, id, &flow, bytes);
         state.table.server_mut(server).requests -= 1;
         record_answer(state, server, out);
     }
@@ -136,6 +145,11 @@
     let (moves, opened_at, basis) = (flow.moves, flow.opened_at, flow.basis);
     let row = state.table.server_mut(server);
     row.requests += u32::from(!was_busy);
+    let pool = row.pool;
+    if let (false, Some(pool), Some(route)) = (was_busy, pool, state.table.route(id.service)) {
+        state.admission.record_request(now, pool, route.priority);
+    }
+    let row = state.table.server_mut(server);
     if is_repeated && !has_progress && row.health.record_unanswered(now, sent_at) {
         state.has_urgent_evidence = true;
         out.push(Effect::Note(Note::Suspected {
@@ -156,6 +170,40 @@
     }
 }
 
+fn record_handshake(state: &mut Forwarder, server: key::Server, took: Span) {
+    let row = state.table.server(server);
+    if let Some(pool) = row.pool {
+        state.admission.record_handshake(pool, row.domain, took);
+    }
+}
+
+/// Records an answer for the estimate of the pool's capacity.
+fn observe_answer(state: &mut Forwarder, id: Id, flow: &Flow, bytes: u32) {
+    let row = state.table.server(flow.server);
+    let (Some(pool), Some(route)) = (row.pool, state.table.route(id.service)) else {
+        return;
+    };
+    let now = state.now;
+    let took = now.since(flow.data_sent_at);
+    // The first request counts as under way from the opening packet on.
+    let is_first = flow.data_sent_at.since(flow.opening_sent_at) < FIRST_REQUEST_DELAY;
+    let answer = admission::Answer {
+        took,
+        counted: match is_first {
+            true => now.since(flow.opening_sent_at),
+            false => took,
+        },
+        bytes,
+        running: row.requests + state.loads.requests(flow.server),
+        slots: row.slots,
+        target: route.target,
+    };
+    let domain = row.domain;
+    state
+        .admission
+        .record_answer(now, id.service, pool, domain, &answer);
+}
+
 /// Records that a server has answered a caller.
 fn record_answer(state: &mut Forwarder, server: key::Server, out: &mut Vec<Effect>) {
     let now = state.now;
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -15,6 +15,7 @@
 //! - `state`: the reducer, its state, readiness and the ownership of servers.
 //! - `opening`: opening packets: server selection, retransmissions and refusals.
 //! - `established`: packets of open flows, forwarded by route token.
+//! - `admission`: refusal of new flows by urgency while capacity is short.
 //! - `select`: load balancing: the backend server of a new flow.
 //! - `health`: passive failure detection of backend servers, confirmed by health checks.
 //! - `check`: scheduling and results of those health checks.
@@ -44,6 +45,7 @@
 //! - `setting`: settings and their defaults.
 //! - `prelude`: the types that a driver imports.
 
+pub mod admission;
 pub mod codec;
 pub mod cold;
 pub mod count;
--- a/crates/forward/src/note.rs
+++ b/crates/forward/src/note.rs
@@ -5,6 +5,7 @@
 use base::prelude::*;
 use conf::object::Kind;
 
+use crate::admission;
 use crate::flow::Basis;
 use crate::flow::Id;
 
@@ -38,6 +39,16 @@
         /// Staleness of the backend servers; `None` before their first listing.
         age: Option<Span>,
     },
+    /// The pool of a new flow is short of capacity, and the flow was admitted or refused by its
+    /// priority's share.
+    Admission {
+        /// The flow.
+        flow: Id,
+        /// Whether it was admitted.
+        is_admitted: bool,
+        /// The data behind the decision.
+        basis: admission::Basis,
+    },
     /// An opening packet was dropped, so that the caller's retransmission is assigned to a server
     /// or refused.
     Deferred {
@@ -217,6 +228,14 @@
         match self {
             Note::Request { flow, server, .. } => write!(f, "{flow}: request to {server}"),
             Note::Refused { flow, code, .. } => write!(f, "{flow}: refused, {code}"),
+            Note::Admission {
+                flow,
+                is_admitted,
+                basis,
+            } => {
+                let outcome = if *is_admitted { "admitted" } else { "refused" };
+                write!(f, "{flow}: {outcome} under shortage, {basis}")
+            }
             Note::Deferred { flow, code, copies } => {
                 write!(f, "{flow}: deferred, retransmission {copies}, {code}")
             }
--- a/crates/forward/src/opening.rs
+++ b/crates/forward/src/opening.rs
@@ -3,6 +3,8 @@
 use base::prelude::*;
 use conf::key;
 
+use crate::admission;
+use crate::admission::Decision;
 use crate::count::Kind;
 use crate::effect::Effect;
 use crate::flow::Basis;
@@ -42,7 +44,18 @@
     let Some(route) = state.table.route(id.service) else {
         return refuse_flow(state, id, Code::NoService, out);
     };
-    let selection = match route.pool_for(id.hash()) {
+    let (pool, priority) = (route.pool_for(id.hash()), route.priority);
+    if state.admission.is_refused(id.hash()) {
+        state.counts.add(Kind::Copies);
+        return refuse_flow(state, id, Code::Overloaded, out);
+    }
+    if let Some(pool) = pool {
+        // Selection defers a copy of an opening packet that never came here while no slot is free.
+        if head.ack == 0 && !admit_flow(state, id, pool, priority, out) {
+            return Verdict::Reset(Code::Overloaded);
+        }
+    }
+    let selection = match pool {
         Some(pool) => select_server(state, id, pool, None, head.ack > 0),
         None => Selection::Unavailable,
     };
@@ -58,6 +71,42 @@
     }
 }
 
+/// Returns whether a new flow is admitted. Most are without any record; the others are decided by
+/// their priority's share of the pool's capacity.
+fn admit_flow(
+    state: &mut Forwarder,
+    id: Id,
+    pool: key::Pool,
+    priority: u8,
+    out: &mut Vec<Effect>,
+) -> bool {
+    let domain = &state.setting.domain;
+    let supply = admission::Supply {
+        table: &state.table,
+        loads: &state.loads,
+        local_domain: domain,
+        balancers: state.group.alive_in(domain).count() as u32,
+        now: state.now,
+        pool,
+    };
+    let decision = state.admission.decide(&supply, priority, id.hash(), None);
+    let (basis, is_admitted) = match decision {
+        Decision::Free => return true,
+        Decision::Admitted(basis) => (basis, true),
+        Decision::Refused(basis) => (basis, false),
+    };
+    state.counts.add(match is_admitted {
+        true => Kind::AdmittedShort,
+        false => Kind::refused(priority),
+    });
+    out.push(Effect::Note(Note::Admission {
+        flow: id,
+        is_admitted,
+        basis,
+    }));
+    is_admitted
+}
+
 /// Drops an opening packet, so that the caller's retransmission is assigned to a server or refused.
 fn defer_packet(
     state: &mut Forwarder,
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -6,6 +6,7 @@
 use conf::key;
 use member::Group;
 
+use crate::admission;
 use crate::check;
 use crate::count::Counts;
 use crate::effect::Effect;
@@ -36,6 +37,7 @@
     pub(crate) table: Table,
     pub(crate) flows: Flows,
     pub(crate) loads: Loads,
+    pub(crate) admission: admission::Gate,
     pub(crate) feeds: Feeds,
     pub(crate) group: Group,
     pub(crate) counts: Counts,
@@ -66,6 +68,7 @@
             table: Table::default(),
             flows: Flows::default(),
             loads: Loads::default(),
+            admission: admission::Gate::default(),
             feeds: Feeds::default(),
             counts: Counts::default(),
             was_ready: false,
--- a/crates/shell/src/packets/trace.rs
+++ b/crates/shell/src/packets/trace.rs
@@ -101,6 +101,23 @@
             routing,
             servers_age_ms = age.map(Span::as_millis),
         ),
+        Note::Admission {
+            flow,
+            is_admitted,
+            basis,
+        } => tracing::info!(
+            event = "flow-admission",
+            caller = %flow.caller,
+            service = %flow.service,
+            is_admitted,
+            priority = basis.priority,
+            offered_per_10s = basis.offered,
+            admitted_per_10s = basis.admitted,
+            committed_per_10s = basis.committed,
+            capacity_per_10s = basis.capacity,
+            demand_age_ms = basis.age.map(Span::as_millis),
+            loads_age_ms = basis.loads_age.as_millis(),
+        ),
         Note::Deferred { flow, code, copies } => tracing::info!(
             event = "flow-held",
             caller = %flow.caller,
@@ -232,6 +249,7 @@
         note,
         Note::Request { .. }
             | Note::Refused { .. }
+            | Note::Admission { .. }
             | Note::Deferred { .. }
             | Note::Moved { .. }
             | Note::Expired { .. }
