--- a/crates/forward/tests/all/sim/caller.rs
+++ b/crates/forward/tests/all/sim/caller.rs
@@ -30,6 +30,8 @@
 const REQUEST_BYTES: u16 = 300;
 /// The size of a response.
 const RESPONSE_BYTES: u32 = 1_000;
+/// The size of an answer that refuses a request.
+const SHED_BYTES: u32 = 120;
 
 /// The outcome of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,6 +52,7 @@
     pub(crate) started_at: Time,
     pub(crate) domain: usize,
     pub(crate) is_idempotent: bool,
+    pub(crate) service: SocketAddrV4,
     pub(crate) outcome: Outcome,
     /// How often servers have started to run it.
     pub(crate) runs: u32,
@@ -137,18 +140,35 @@
         let domain = self.random.random_range(0..self.domains);
         let is_idempotent = self.random.random_range(0..9) < 7;
         if !self.quiet_domains.contains(&domain) {
-            self.start_request(domain, is_idempotent);
+            let is_urgent =
+                self.urgent_percent > 0 && self.random.random_range(0..100) < self.urgent_percent;
+            let service = if is_urgent {
+                super::URGENT_SERVICE
+            } else {
+                SERVICE
+            };
+            self.start_request_to(domain, is_idempotent, service);
         }
         self.schedule_request();
     }
 
     /// Starts a request of a caller in a domain.
     pub(crate) fn start_request(&mut self, domain: usize, is_idempotent: bool) -> u32 {
+        self.start_request_to(domain, is_idempotent, SERVICE)
+    }
+
+    fn start_request_to(
+        &mut self,
+        domain: usize,
+        is_idempotent: bool,
+        service: SocketAddrV4,
+    ) -> u32 {
         let index = self.requests.len() as u32;
         self.requests.push(Request {
             started_at: self.now,
             domain,
             is_idempotent,
+            service,
             outcome: Outcome::Pending,
             runs: 0,
             attempts: 0,
@@ -160,7 +180,12 @@
             is_received: false,
         });
         self.schedule(REQUEST_DEADLINE, Task::CallerTimer(index, Timer::Deadline));
-        match self.take_idle_flow(domain) {
+        // Only callers of `SERVICE` keep their flows.
+        let idle = match service == SERVICE {
+            true => self.take_idle_flow(domain),
+            false => None,
+        };
+        match idle {
             Some(flow) => self.start_on_flow(index, flow),
             None => self.start_attempt(index),
         }
@@ -234,7 +259,7 @@
             ack: request.ack,
             token: Token(0),
             caller: request.address,
-            service: SERVICE,
+            service: request.service,
         }
     }
 
@@ -313,7 +338,7 @@
         if !may_retry || request.attempts >= ATTEMPTS_MAX {
             return self.finish_request(index, Outcome::Refused);
         }
-        self.schedule(Span::millis(20), Task::CallerTimer(index, Timer::Retry));
+        self.schedule(self.retry_delay, Task::CallerTimer(index, Timer::Retry));
     }
 
     pub(super) fn handle_caller_packet(&mut self, packet: Packet) {
@@ -353,8 +378,8 @@
                     token,
                 },
             ) => {
-                let keeps_flow = self.flows_per_domain > 0;
                 let request = &mut self.requests[index as usize];
+                let keeps_flow = self.flows_per_domain > 0 && request.service == SERVICE;
                 request.seq += u32::from(REQUEST_BYTES);
                 request.ack += RESPONSE_BYTES;
                 let (domain, flow) = (
@@ -375,6 +400,7 @@
                 }
             }
             (Message::Shed, Phase::Open { token, .. }) => {
+                self.requests[index as usize].ack += SHED_BYTES;
                 self.send_end(index, token, true);
                 // The request was not run, so it may be retried even if it is not idempotent.
                 self.requests[index as usize].phase = Phase::Over;
--- a/crates/forward/tests/all/sim/driver.rs
+++ b/crates/forward/tests/all/sim/driver.rs
@@ -234,7 +234,8 @@
                 let Some(there) = self.balancers.get(to).map(|state| state.domain) else {
                     return;
                 };
-                if self.is_link_blocked(here, there) || self.is_packet_lost() {
+                let is_isolated = self.isolated.contains(&balancer) || self.isolated.contains(&to);
+                if is_isolated || self.is_link_blocked(here, there) || self.is_packet_lost() {
                     return;
                 }
                 let frame = Box::new(frame);
--- a/crates/forward/tests/all/sim/mod.rs
+++ b/crates/forward/tests/all/sim/mod.rs
@@ -165,6 +165,12 @@
     /// The number of idle flows that the callers of a domain keep open for further requests; 0 if
     /// they end each flow after its request.
     pub(crate) flows_per_domain: usize,
+    /// The percentage of the requests that go to `URGENT_SERVICE`.
+    pub(crate) urgent_percent: u32,
+    /// The delay before a failed attempt is retried.
+    pub(crate) retry_delay: Span,
+    /// The balancers whose frames to and from others are lost.
+    pub(crate) isolated: BTreeSet<usize>,
     /// The flows that callers of each domain keep open without a request under way.
     pub(crate) idle_flows: BTreeMap<usize, Vec<caller::IdleFlow>>,
     /// The number of attempts, from which each caller address is made.
@@ -186,6 +192,9 @@
 
 /// The service address of all flows.
 pub(crate) const SERVICE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+/// The service address of a second route to the same pool.
+pub(crate) const URGENT_SERVICE: SocketAddrV4 =
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 2), 443);
 /// The pool that `SERVICE` is routed to.
 pub(crate) const POOL: &str = "rounds";
 
@@ -231,6 +240,9 @@
             quiet_domains: BTreeSet::new(),
             checks: Vec::new(),
             flows_per_domain: 0,
+            urgent_percent: 0,
+            retry_delay: Span::millis(20),
+            isolated: BTreeSet::new(),
             idle_flows: BTreeMap::new(),
             next_port: 0,
             loss: 0,
