forward: follow the rate of answers in time when admitting flows

The capacity was taken as at least 80% of the rate of answers in time. Simulated callers acknowledge a rejection after 80 ms, as was seen, and a test restarts a balancer.

--- a/crates/forward/src/admission/capacity.rs
+++ b/crates/forward/src/admission/capacity.rs
@@ -62,10 +62,10 @@
 /// Length of one step of the window of answers in time, in microseconds. The whole window of 1 s
 /// evens out the rate of a small balancer, and follows a change within the time of a retry.
 const SERVED_STEP: u64 = 125_000;
-/// The part of the rate of answers in time that counts as capacity, in percent. The rest lets full
-/// queues drain: with 100, long flows had 85 rejections per 1,000 requests at 1.3 times the
-/// capacity.
-const SERVED_PERCENT: u64 = 80;
+/// The part of the rate of answers in time that counts as capacity at the least correction, in
+/// percent. It is 100 without a correction. The rest lets full queues drain: with 100 always, long
+/// flows had 85 rejections per 1,000 requests at 1.3 times the capacity.
+const SERVED_PERCENT_MIN: u64 = 70;
 
 /// An answer, as seen from its acknowledgement by the caller.
 #[derive(Clone, Copy, Debug)]
@@ -269,7 +269,10 @@
     /// The servers can serve about this much, even if the service time was overestimated or some
     /// servers reject requests while others are free.
     pub(super) fn least(&self, now: Time) -> Rate {
-        let rate = u64::from(self.served.rate(now)) * SERVED_PERCENT / 100;
+        let above = u64::from(self.factor - FACTOR_MIN);
+        let whole = u64::from(FACTOR_MAX - FACTOR_MIN);
+        let percent = SERVED_PERCENT_MIN + (100 - SERVED_PERCENT_MIN) * above / whole;
+        let rate = u64::from(self.served.rate(now)) * percent / 100;
         Rate::try_from(rate).unwrap_or(Rate::MAX)
     }
 
--- a/crates/forward/tests/all/admission.rs
+++ b/crates/forward/tests/all/admission.rs
@@ -117,15 +117,13 @@
     let (other, other_served) = within(&|request| request.service == SERVICE);
     let share = |part: usize, whole: usize| part as f64 / whole.max(1) as f64;
     let seconds = to.since(from).0 as f64 / 1e6;
-    let measure = Measure {
+    Measure {
         urgent: share(urgent_served, urgent),
         other: share(other_served, other),
         used: (urgent_served + other_served) as f64 / (capacity * seconds),
         rejected: share(shed_after - shed_before, urgent + other),
         refused: refused_after - refused_before,
-    };
-    println!("{measure:?}");
-    measure
+    }
 }
 
 /// Asserts the acceptance criteria of a demand above the capacity.
@@ -227,6 +225,20 @@
     assert_is_as_before(&mut sim);
 }
 
+/// Load: twice the capacity while a balancer is killed, whose callers come to the others of its
+/// domain. It restarts after 2 s.
+#[test]
+fn a_balancer_restarts_under_overload() {
+    let mut sim = deployment(14, 30);
+    sim.rate = rate(2.0);
+    sim.run_for(SETTLING);
+    sim.kill_balancer(0, Span::secs(2));
+    // The fabric takes it out of rotation in this time.
+    sim.run_for(Span::millis(1_100));
+    assert_overload_is_served(measure(&mut sim, LONG, CAPACITY));
+    assert_is_as_before(&mut sim);
+}
+
 /// Load: twice the capacity. A balancer hears nothing of others, and must not take the capacity of
 /// its domain alone.
 #[test]
--- a/crates/forward/tests/all/sim/caller.rs
+++ b/crates/forward/tests/all/sim/caller.rs
@@ -12,6 +12,7 @@
 use super::Simulation;
 use super::Task;
 use super::Violation;
+use super::CALLER_LATENCY;
 use super::SERVICE;
 
 /// The delays after which an unanswered opening packet is retransmitted.
@@ -32,6 +33,8 @@
 const RESPONSE_BYTES: u32 = 1_000;
 /// The size of an answer that refuses a request.
 const SHED_BYTES: u32 = 120;
+/// The time after which a caller acknowledges an answer of a single packet.
+const ACKNOWLEDGEMENT_DELAY: Span = Span::millis(80);
 
 /// The outcome of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -281,6 +284,18 @@
         self.send_packet(index, token, 0, is_last);
     }
 
+    /// Acknowledges a short response after a delay, and ends the flow.
+    fn schedule_end(&mut self, index: u32, token: Token) {
+        let mut head = self.packet_head(index);
+        (head.flags.ack, head.flags.fin, head.token) = (true, true, token);
+        let domain = self.requests[index as usize].domain;
+        if let Some(balancer) = self.balancer_for(domain, head.caller) {
+            let task = Task::BalancerPacket { balancer, head };
+            let wait = Span(ACKNOWLEDGEMENT_DELAY.0 + CALLER_LATENCY.0);
+            self.schedule(wait, task);
+        }
+    }
+
     fn send_packet(&mut self, index: u32, token: Token, length: u16, is_last: bool) {
         let mut head = self.packet_head(index);
         head.flags.ack = true;
@@ -401,7 +416,7 @@
             }
             (Message::Shed, Phase::Open { token, .. }) => {
                 self.requests[index as usize].ack += SHED_BYTES;
-                self.send_end(index, token, true);
+                self.schedule_end(index, token);
                 // The request was not run, so it may be retried even if it is not idempotent.
                 self.requests[index as usize].phase = Phase::Over;
                 self.retry_request(index);
