--- a/crates/forward/src/dump.rs
+++ b/crates/forward/src/dump.rs
@@ -52,6 +52,9 @@
             let full_until = self.speeds.full_until(key);
             writeln!(f, ", service {service}, full until {full_until}")?;
         }
+        for line in self.admission.lines(&self.table, self.now) {
+            writeln!(f, "{line}")?;
+        }
         for member in self.group.members() {
             writeln!(f, "{member}")?;
         }
--- a/crates/forward/src/established.rs
+++ b/crates/forward/src/established.rs
@@ -3,6 +3,7 @@
 use base::prelude::*;
 use conf::key;
 
+use crate::admission;
 use crate::check;
 use crate::count::Kind;
 use crate::effect::Effect;
@@ -19,6 +20,10 @@
 use crate::state::Forwarder;
 use crate::token::Token;
 
+/// The longest time from an opening packet to the data of the flow's first request. A handshake
+/// takes some 10 ms.
+const FIRST_REQUEST_DELAY: Span = Span::millis(100);
+
 /// Decides on a packet other than an opening one. Its token names the backend server.
 pub(crate) fn handle_packet(state: &mut Forwarder, head: &Head, out: &mut Vec<Effect>) -> Verdict {
     let Some(server) = state.table.server_by_mark(head.token.mark(head.service)) else {
@@ -57,6 +62,7 @@
         flow.phase = Phase::Open;
         flow.ack = head.ack;
         let took = now.since(flow.opening_sent_at);
+        record_handshake(state, server, took);
         record_answer(state, server, out);
         out.push(Effect::Opened { took });
     }
@@ -113,6 +119,9 @@
     let was_busy = std::mem::take(&mut flow.is_busy);
     let was_due = std::mem::take(&mut flow.awaits_answer);
     let flow = *flow;
+    if was_due {
+        observe_answer(state, id, &flow, size, was_busy);
+    }
     if was_busy {
         state.table.server_mut(flow.server).requests -= 1;
     }
@@ -170,9 +179,12 @@
     }
     let (moves, opened_at, basis) = (flow.moves, flow.opened_at, flow.basis);
     flow.is_resent = is_repeated;
-    flow.awaits_answer = true;
+    let was_due = std::mem::replace(&mut flow.awaits_answer, true);
     state.table.server_mut(server).requests += u32::from(!was_busy);
     time_request(state, id, server);
+    if is_logged && !was_due {
+        record_request(state, id, server);
+    }
     let row = state.table.server_mut(server);
     if is_repeated && !has_progress && row.health.record_unanswered(now, sent_at) {
         state.has_urgent_evidence = true;
@@ -208,6 +220,49 @@
     state.flows.queue_request(id);
 }
 
+/// Records a request on a flow that was open already, which nobody can refuse.
+fn record_request(state: &mut Forwarder, id: Id, server: key::Server) {
+    let pool = state.table.server(server).pool;
+    if let (Some(pool), Some(route)) = (pool, state.table.route(id.service)) {
+        state.admission.record_request(state.now, pool, route.priority);
+    }
+}
+
+fn record_handshake(state: &mut Forwarder, server: key::Server, took: Span) {
+    let row = state.table.server(server);
+    if let Some(pool) = row.pool {
+        state.admission.record_handshake(pool, row.domain, took);
+    }
+}
+
+/// Records an answer for the estimate of the pool's capacity. `was_busy` says whether its request
+/// is still among those under way.
+fn observe_answer(state: &mut Forwarder, id: Id, flow: &Flow, bytes: u32, was_busy: bool) {
+    let row = state.table.server(flow.server);
+    let (Some(pool), Some(route)) = (row.pool, state.table.route(id.service)) else {
+        return;
+    };
+    let now = state.now;
+    let took = now.since(flow.data_sent_at);
+    // The first request counts as under way from the opening packet on.
+    let is_first = flow.data_sent_at.since(flow.opening_sent_at) < FIRST_REQUEST_DELAY;
+    let answer = admission::Answer {
+        took,
+        counted: match is_first {
+            true => now.since(flow.opening_sent_at),
+            false => took,
+        },
+        bytes,
+        running: row.requests + u32::from(!was_busy) + state.loads.requests(flow.server),
+        slots: row.slots,
+        target: route.target,
+    };
+    let domain = row.domain;
+    state
+        .admission
+        .record_answer(now, id.service, pool, domain, &answer);
+}
+
 /// Records that a server has answered a caller.
 fn record_answer(state: &mut Forwarder, server: key::Server, out: &mut Vec<Effect>) {
     let now = state.now;
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -7,6 +7,7 @@
 use member::Group;
 use wire::frame::Speed;
 
+use crate::admission;
 use crate::check;
 use crate::contact::Contacts;
 use crate::count::Counts;
@@ -42,6 +43,7 @@
     pub(crate) flows: Flows,
     pub(crate) loads: Loads,
     pub(crate) speeds: Speeds,
+    pub(crate) admission: admission::Gate,
     pub(crate) feeds: Feeds,
     pub(crate) group: Group,
     pub(crate) counts: Counts,
@@ -81,6 +83,7 @@
             flows: Flows::default(),
             loads: Loads::default(),
             speeds,
+            admission: admission::Gate::default(),
             feeds: Feeds::default(),
             counts: Counts::default(),
             contacts: Contacts::default(),
--- a/crates/forward/tests/all/sim/caller.rs
+++ b/crates/forward/tests/all/sim/caller.rs
@@ -12,6 +12,7 @@
 use super::Simulation;
 use super::Task;
 use super::Violation;
+use super::CALLER_LATENCY;
 use super::SERVICE;
 
 /// The delays after which an unanswered opening packet is retransmitted.
@@ -30,8 +31,10 @@
 const REQUEST_BYTES: u16 = 300;
 /// The size of a response.
 const RESPONSE_BYTES: u32 = 1_000;
-/// The size of a rejection by a server whose queue is full.
-const REJECTION_BYTES: u32 = 120;
+/// The size of an answer that refuses a request.
+const SHED_BYTES: u32 = 120;
+/// The time after which a caller acknowledges an answer of a single packet.
+const ACKNOWLEDGEMENT_DELAY: Span = Span::millis(80);
 
 /// The outcome of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -52,6 +55,7 @@
     pub(crate) started_at: Time,
     pub(crate) domain: usize,
     pub(crate) is_idempotent: bool,
+    pub(crate) service: SocketAddrV4,
     pub(crate) outcome: Outcome,
     /// How often servers have started to run it.
     pub(crate) runs: u32,
@@ -139,18 +143,35 @@
         let domain = self.random.random_range(0..self.domains);
         let is_idempotent = self.random.random_range(0..9) < 7;
         if !self.quiet_domains.contains(&domain) {
-            self.start_request(domain, is_idempotent);
+            let is_urgent =
+                self.urgent_percent > 0 && self.random.random_range(0..100) < self.urgent_percent;
+            let service = if is_urgent {
+                super::URGENT_SERVICE
+            } else {
+                SERVICE
+            };
+            self.start_request_to(domain, is_idempotent, service);
         }
         self.schedule_request();
     }
 
     /// Starts a request of a caller in a domain.
     pub(crate) fn start_request(&mut self, domain: usize, is_idempotent: bool) -> u32 {
+        self.start_request_to(domain, is_idempotent, SERVICE)
+    }
+
+    fn start_request_to(
+        &mut self,
+        domain: usize,
+        is_idempotent: bool,
+        service: SocketAddrV4,
+    ) -> u32 {
         let index = self.requests.len() as u32;
         self.requests.push(Request {
             started_at: self.now,
             domain,
             is_idempotent,
+            service,
             outcome: Outcome::Pending,
             runs: 0,
             attempts: 0,
@@ -162,7 +183,12 @@
             is_received: false,
         });
         self.schedule(REQUEST_DEADLINE, Task::CallerTimer(index, Timer::Deadline));
-        match self.take_idle_flow(domain) {
+        // Only callers of `SERVICE` keep their flows.
+        let idle = match service == SERVICE {
+            true => self.take_idle_flow(domain),
+            false => None,
+        };
+        match idle {
             Some(flow) => self.start_on_flow(index, flow),
             None => self.start_attempt(index),
         }
@@ -236,7 +262,7 @@
             ack: request.ack,
             token: Token(0),
             caller: request.address,
-            service: SERVICE,
+            service: request.service,
         }
     }
 
@@ -258,6 +284,18 @@
         self.send_packet(index, token, 0, is_last);
     }
 
+    /// Acknowledges a short response after a delay, and ends the flow.
+    fn schedule_end(&mut self, index: u32, token: Token) {
+        let mut head = self.packet_head(index);
+        (head.flags.ack, head.flags.fin, head.token) = (true, true, token);
+        let domain = self.requests[index as usize].domain;
+        if let Some(balancer) = self.balancer_for(domain, head.caller) {
+            let task = Task::BalancerPacket { balancer, head };
+            let wait = Span(ACKNOWLEDGEMENT_DELAY.0 + CALLER_LATENCY.0);
+            self.schedule(wait, task);
+        }
+    }
+
     fn send_packet(&mut self, index: u32, token: Token, length: u16, is_last: bool) {
         let mut head = self.packet_head(index);
         head.flags.ack = true;
@@ -315,7 +353,7 @@
         if !may_retry || request.attempts >= ATTEMPTS_MAX {
             return self.finish_request(index, Outcome::Refused);
         }
-        self.schedule(Span::millis(20), Task::CallerTimer(index, Timer::Retry));
+        self.schedule(self.retry_delay, Task::CallerTimer(index, Timer::Retry));
     }
 
     pub(super) fn handle_caller_packet(&mut self, packet: Packet) {
@@ -355,8 +393,8 @@
                     token,
                 },
             ) => {
-                let keeps_flow = self.flows_per_domain > 0;
                 let request = &mut self.requests[index as usize];
+                let keeps_flow = self.flows_per_domain > 0 && request.service == SERVICE;
                 request.seq += u32::from(REQUEST_BYTES);
                 request.ack += RESPONSE_BYTES;
                 let (domain, flow) = (
@@ -377,8 +415,8 @@
                 }
             }
             (Message::Shed, Phase::Open { token, .. }) => {
-                self.requests[index as usize].ack += REJECTION_BYTES;
-                self.send_end(index, token, true);
+                self.requests[index as usize].ack += SHED_BYTES;
+                self.schedule_end(index, token);
                 // The request was not run, so it may be retried even if it is not idempotent.
                 self.requests[index as usize].phase = Phase::Over;
                 self.retry_request(index);
