Exchange demand and occupancy, spill new flows to free domains

Cause: a surge in one failure domain queues there while servers of other domains are free, because another domain costs one request per slot and its occupancy is not known. Change: balancers exchange smoothed demand within the domain and summaries between domains for pressed pools only (demand, pressure, exchange).

--- a/crates/forward/src/count.rs
+++ b/crates/forward/src/count.rs
@@ -35,6 +35,12 @@
     ReadFailures,
     /// Checks of suspected servers.
     Checks,
+    /// Flows assigned to a server of the failure domain to which they spill.
+    Spilled,
+    /// Frames about demand that were sent.
+    DemandFrames,
+    /// Frames about demand that were dropped because their sender may not send them.
+    DemandRejected,
     /// Frames sent to peers.
     Sent,
     /// Frames received from peers.
--- a/crates/forward/src/dump.rs
+++ b/crates/forward/src/dump.rs
@@ -2,6 +2,9 @@
 
 use std::fmt;
 
+use conf::key;
+
+use crate::demand::Rate;
 use crate::state::Forwarder;
 
 impl fmt::Display for Forwarder {
@@ -43,6 +46,9 @@
             };
             writeln!(f, "domain {} {state}", domain.name)?;
         }
+        for pool in self.exchange.active() {
+            self.fmt_demand(pool, f)?;
+        }
         for (key, row) in self.table.servers() {
             writeln!(f, "{key} {row}, {} open at peers", self.loads.requests(key))?;
         }
@@ -55,3 +61,40 @@
         Ok(())
     }
 }
+
+impl Forwarder {
+    /// Writes the demand for a pool here and in all domains, the occupancy of each domain, and the
+    /// shares that spill.
+    fn fmt_demand(&self, pool: key::Pool, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (now, name) = (self.now, &self.table.pool(pool).object.name);
+        let own = self.demands.own_offer(now, pool).sum();
+        let total = self.demands.total(now, pool);
+        write!(
+            f,
+            "pool {name} demand here {own}, committed everywhere {}",
+            total.committed
+        )?;
+        for (priority, rate) in total.offered.iter().enumerate() {
+            if *rate > Rate::default() {
+                write!(f, ", offered at priority {priority} {rate}")?;
+            }
+        }
+        let (balancers, age) = (total.balancers, total.age);
+        writeln!(f, ", known of {balancers} balancers, {age} old")?;
+        let shares = self.spills.get(pool);
+        for domain in self.table.domains() {
+            let Some(key) = self.table.domain_key(&domain.name) else {
+                continue;
+            };
+            if let Some(room) = self.demands.domain(now, pool, key) {
+                let share = shares.map_or(0, |shares| shares.share(key));
+                writeln!(
+                    f,
+                    "  domain {}: {room}, takes {share} permille",
+                    domain.name
+                )?;
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/forward/src/established.rs
+++ b/crates/forward/src/established.rs
@@ -136,6 +136,10 @@
     let (moves, opened_at, basis) = (flow.moves, flow.opened_at, flow.basis);
     let row = state.table.server_mut(server);
     row.requests += u32::from(!was_busy);
+    // The first request of a flow is counted by its opening packet.
+    if let (false, true, Some(pool)) = (was_busy, is_logged, row.pool) {
+        state.demands.record_request(now, pool);
+    }
     if is_repeated && !has_progress && row.health.record_unanswered(now, sent_at) {
         state.has_urgent_evidence = true;
         out.push(Effect::Note(Note::Suspected {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -32,6 +32,10 @@
 //! - `peer`: membership, and the frames that balancers exchange.
 //! - `load`: load reports of other balancers, and the sums that selection uses.
 //! - `report`: exchange of load reports and restart hints.
+//! - `demand`: demand for each pool, here, at peers and in other failure domains.
+//! - `pressure`: the taken slots of the own failure domain.
+//! - `exchange`: the frames about demand and occupancy.
+//! - `spill`: the share of new flows that other failure domains take.
 //! - `patch`: deltas between versions of large objects.
 //! - `tick`: timers, reads of the platform and how their results are put in force.
 //!
@@ -47,8 +51,10 @@
 pub mod codec;
 pub mod cold;
 pub mod count;
+pub mod demand;
 pub mod effect;
 pub mod event;
+pub mod exchange;
 pub mod feed;
 pub mod flow;
 pub mod health;
@@ -57,9 +63,11 @@
 pub mod packet;
 pub mod patch;
 pub mod prelude;
+pub mod pressure;
 pub mod role;
 pub mod select;
 pub mod setting;
+pub mod spill;
 pub mod state;
 pub mod table;
 pub mod tick;
--- a/crates/forward/src/note.rs
+++ b/crates/forward/src/note.rs
@@ -182,6 +182,21 @@
         /// Its new state.
         state: &'static str,
     },
+    /// New flows of a pool started to spill to other failure domains, or stopped to.
+    Spill {
+        /// The pool.
+        pool: String,
+        /// Whether they spill now.
+        is_spilling: bool,
+        /// The domains that take them with their shares, in permille.
+        shares: Vec<(String, u64)>,
+        /// The number of slots of the own domain.
+        slots: u32,
+        /// The number of these that are taken.
+        running: u32,
+        /// The age of the oldest summary that counts.
+        age: Span,
+    },
     /// A failure domain was partitioned from this balancer, or the partition has healed.
     Domain {
         /// The domain.
@@ -252,6 +267,16 @@
             Note::ReadFailing { kind, why, .. } => write!(f, "{kind} cannot be read: {why}"),
             Note::ReadRecovered { kind, .. } => write!(f, "{kind} can be read again"),
             Note::Peer { name, state, .. } => write!(f, "peer {name} {state}"),
+            Note::Spill {
+                pool,
+                is_spilling,
+                slots,
+                running,
+                ..
+            } => {
+                let verb = if *is_spilling { "spills" } else { "stays" };
+                write!(f, "{pool} {verb}: {running} of {slots} slots taken")
+            }
             Note::Domain { domain, is_cut } => match is_cut {
                 true => write!(f, "{domain} is unreachable"),
                 false => write!(f, "{domain} is reachable again"),
--- a/crates/forward/src/opening.rs
+++ b/crates/forward/src/opening.rs
@@ -22,6 +22,9 @@
 /// be deferred again.
 const LAST_RETRANSMISSION: u32 = 2;
 
+/// The priority of all opening packets: routes have none.
+const PRIORITY: u8 = 0;
+
 /// Decides on an opening packet.
 pub(crate) fn handle_packet(state: &mut Forwarder, head: &Head, out: &mut Vec<Effect>) -> Verdict {
     state.counts.add(Kind::Opening);
@@ -43,11 +46,19 @@
         return refuse_flow(state, id, Code::NoService, out);
     };
     let selection = match route.pool_for(id.hash()) {
-        Some(pool) => select_server(state, id, pool, None, head.ack > 0),
+        Some(pool) => {
+            if head.ack == 0 {
+                state.demands.record_opening(state.now, pool, PRIORITY);
+            }
+            select_server(state, id, pool, None, head.ack > 0)
+        }
         None => Selection::Unavailable,
     };
     match selection {
-        Selection::Server(server, basis) => record_and_forward(state, id, server, basis),
+        Selection::Server(server, basis) => {
+            count_spilled(state, id, server);
+            record_and_forward(state, id, server, basis)
+        }
         Selection::Saturated => defer_packet(state, id, head.ack, Code::SlotsTaken, out),
         Selection::ColdLimited if head.ack < LAST_RETRANSMISSION => {
             defer_packet(state, id, head.ack, Code::FlowHeld, out)
@@ -58,6 +69,16 @@
     }
 }
 
+fn count_spilled(state: &mut Forwarder, id: Id, server: key::Server) {
+    let row = state.table.server(server);
+    let preferred = row
+        .pool
+        .and_then(|pool| state.spills.domain_for(pool, id.hash()));
+    if preferred == Some(row.domain) {
+        state.counts.add(Kind::Spilled);
+    }
+}
+
 /// Drops an opening packet, so that the caller's retransmission is assigned to a server or refused.
 fn defer_packet(
     state: &mut Forwarder,
@@ -164,6 +185,7 @@
         table: &state.table,
         loads: &state.loads,
         local_domain: &state.setting.domain,
+        preferred_domain: state.spills.domain_for(pool, id.hash()),
         now: state.now,
         flow: id.hash(),
         except,
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -101,6 +101,8 @@
             }
         }
         Body::ObjectsRequest(requests) => answer_resync(state, peer, &requests, out),
+        Body::Demand(pools) => report::apply_demand(state, from, &pools),
+        Body::DomainDemand(summary) => report::apply_summary(state, from, summary, out),
         // The other frames are for the balancers of crate `node`, which relay callers' datagrams to
         // the owner of a backend server, or are fragments, which the driver reassembles.
         _ => (),
--- a/crates/forward/src/report.rs
+++ b/crates/forward/src/report.rs
@@ -5,12 +5,16 @@
 
 use base::prelude::*;
 use conf::key;
+use wire::demand::DomainDemand;
+use wire::demand::PoolDemand;
 use wire::frame::Body;
 use wire::frame::LoadReport;
 
 use crate::check;
+use crate::count;
 use crate::effect::Effect;
 use crate::established;
+use crate::exchange::Outgoing;
 use crate::load;
 use crate::note::Note;
 use crate::peer;
@@ -126,3 +130,33 @@
         peer::send_frame(state, to, body.clone(), out);
     }
 }
+
+/// Applies the demand of a peer.
+pub(crate) fn apply_demand(state: &mut Forwarder, from: Incarnation, pools: &[PoolDemand]) {
+    let (exchange, demands, view) = state.exchange_parts();
+    if !exchange.apply_demand(&view, demands, from, pools) {
+        state.counts.add(count::Kind::DemandRejected);
+    }
+}
+
+/// Applies the summary of another failure domain, and passes it on.
+pub(crate) fn apply_summary(
+    state: &mut Forwarder,
+    from: Incarnation,
+    summary: DomainDemand,
+    out: &mut Vec<Effect>,
+) {
+    let (exchange, demands, view) = state.exchange_parts();
+    match exchange.apply_summary(&view, demands, from, summary) {
+        Some(frames) => send_demand(state, frames, out),
+        None => state.counts.add(count::Kind::DemandRejected),
+    }
+}
+
+/// Sends frames about demand.
+pub(crate) fn send_demand(state: &mut Forwarder, frames: Vec<Outgoing>, out: &mut Vec<Effect>) {
+    for Outgoing { to, body } in frames {
+        state.counts.add(count::Kind::DemandFrames);
+        peer::send_frame(state, to, body, out);
+    }
+}
--- a/crates/forward/src/select.rs
+++ b/crates/forward/src/select.rs
@@ -32,6 +32,9 @@
     pub loads: &'a Loads,
     /// The balancer's own failure domain.
     pub local_domain: &'a str,
+    /// The failure domain that takes the flow, if it spills (`spill`): its servers count as local,
+    /// and those of the own domain do not.
+    pub preferred_domain: Option<key::Domain>,
     /// The current time.
     pub now: Time,
     /// Hash of the flow.
@@ -155,7 +158,10 @@
 
     fn cost(&self, server: key::Server) -> u64 {
         let row = self.table.server(server);
-        let is_remote = self.table.domain(row.domain).name != self.local_domain;
+        let is_remote = match self.preferred_domain {
+            Some(domain) => row.domain != domain,
+            None => self.table.domain(row.domain).name != self.local_domain,
+        };
         per_slot(self.requests(server), row.slots) + u64::from(is_remote) * REMOTE_DOMAIN_COST
     }
 
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -8,9 +8,12 @@
 
 use crate::check;
 use crate::count::Counts;
+use crate::demand::Demands;
 use crate::effect::Effect;
 use crate::established;
 use crate::event::Event;
+use crate::exchange::Exchange;
+use crate::exchange::View;
 use crate::feed::Feeds;
 use crate::flow::Flow;
 use crate::flow::Flows;
@@ -24,6 +27,7 @@
 use crate::peer;
 use crate::role::Role;
 use crate::setting::Setting;
+use crate::spill::Spills;
 use crate::table;
 use crate::table::Table;
 use crate::tick;
@@ -36,6 +40,9 @@
     pub(crate) table: Table,
     pub(crate) flows: Flows,
     pub(crate) loads: Loads,
+    pub(crate) demands: Demands,
+    pub(crate) exchange: Exchange,
+    pub(crate) spills: Spills,
     pub(crate) feeds: Feeds,
     pub(crate) group: Group,
     pub(crate) counts: Counts,
@@ -66,6 +73,9 @@
             table: Table::default(),
             flows: Flows::default(),
             loads: Loads::default(),
+            demands: Demands::default(),
+            exchange: Exchange::default(),
+            spills: Spills::default(),
             feeds: Feeds::default(),
             counts: Counts::default(),
             was_ready: false,
@@ -199,6 +209,28 @@
         &self.table
     }
 
+    /// Returns the demand that this balancer knows.
+    pub fn demands(&self) -> &Demands {
+        &self.demands
+    }
+
+    /// Returns the shares of the pools that spill to other failure domains.
+    pub fn spills(&self) -> &Spills {
+        &self.spills
+    }
+
+    /// Returns the exchange of demand, with the state that it reads and the demand that it changes.
+    pub(crate) fn exchange_parts(&mut self) -> (&mut Exchange, &mut Demands, View<'_>) {
+        let view = View {
+            now: self.now,
+            table: &self.table,
+            loads: &self.loads,
+            group: &self.group,
+            domain: &self.setting.domain,
+        };
+        (&mut self.exchange, &mut self.demands, view)
+    }
+
     /// Returns the number of flows in the flow table.
     pub fn flows(&self) -> usize {
         self.flows.len()
--- a/crates/forward/src/table.rs
+++ b/crates/forward/src/table.rs
@@ -119,6 +119,11 @@
         self.pools.values()
     }
 
+    /// Returns all pools that any applied object has named, with their keys.
+    pub fn pool_entries(&self) -> impl Iterator<Item = (key::Pool, &Pool)> {
+        self.pools.iter()
+    }
+
     /// Returns the backend server with a mark.
     pub fn server_by_mark(&self, mark: Mark) -> Option<key::Server> {
         self.marks.get(&mark).copied()
@@ -146,6 +151,11 @@
         &self.domains[domain]
     }
 
+    /// Returns the failure domain with a name.
+    pub fn domain_key(&self, name: &str) -> Option<key::Domain> {
+        self.domain_names.get(name).copied()
+    }
+
     /// Returns whether the failure domain with a name is out.
     pub fn is_domain_out(&self, name: &str) -> bool {
         let domain = self.domain_names.get(name);
--- a/crates/forward/src/tick.rs
+++ b/crates/forward/src/tick.rs
@@ -19,6 +19,7 @@
 use crate::report;
 use crate::role::Role;
 use crate::role::Tier;
+use crate::spill;
 use crate::state::Forwarder;
 
 /// The period of `Event::Tick`.
@@ -82,6 +83,7 @@
         discover_peers(state, out);
         expire_servers(state, out);
         state.loads.expire_reports(now);
+        expire_demand(state);
         check::settle(state, out);
         check::suspect_domains(state, out);
     }
@@ -89,6 +91,7 @@
     check::start_due(state, out);
     start_reads(state, out);
     publish_load(state, out);
+    exchange_demand(state, out);
     let is_ready = state.is_ready();
     if is_ready != state.was_ready {
         state.was_ready = is_ready;
@@ -216,6 +219,69 @@
     state.has_urgent_evidence = rows.any(|(_, row)| row.is_present() && row.health.is_urgent());
 }
 
+/// Removes the demand of balancers and failure domains that do not count any more.
+fn expire_demand(state: &mut Forwarder) {
+    let (_, demands, view) = state.exchange_parts();
+    let is_peer = |from| {
+        let member = view.group.get(from);
+        member.is_some_and(|member| member.state.is_live() && member.domain == view.domain)
+    };
+    let is_reached = |domain| view.is_reached(&view.table.domain(domain).name);
+    demands.expire(view.now, is_peer, is_reached);
+}
+
+/// Updates the occupancy and the shares that spill when they are due, and sends demand.
+fn exchange_demand(state: &mut Forwarder, out: &mut Vec<Effect>) {
+    let report_period = state.report_period();
+    let (exchange, demands, view) = state.exchange_parts();
+    let is_due = exchange.is_due(view.now);
+    if is_due {
+        // Without measured service times, they are estimated from occupancy and rates.
+        exchange.observe(&view, demands, |_| None);
+    }
+    let frames = exchange.frames(&view, demands, report_period);
+    report::send_demand(state, frames, out);
+    if is_due {
+        update_spills(state, out);
+    }
+}
+
+fn update_spills(state: &mut Forwarder, out: &mut Vec<Effect>) {
+    let mut pools = state.exchange.active();
+    pools.extend(state.spills.iter().map(|(pool, _)| pool));
+    pools.sort_unstable();
+    pools.dedup();
+    if pools.is_empty() {
+        return;
+    }
+    let responsive = spill::responsive_domains(&state.table);
+    for pool in pools {
+        let (_, demands, view) = state.exchange_parts();
+        let (own, others) = spill::occupancies(&view, demands, &responsive, pool);
+        let previous = state.spills.get(pool).cloned().unwrap_or_default();
+        let shares = own.map(|own| spill::shares(&own, &others, &previous));
+        let note = Note::Spill {
+            pool: state.table.pool(pool).object.name.clone(),
+            is_spilling: !previous.is_spilling,
+            shares: shares
+                .iter()
+                .flat_map(|shares| &shares.parts)
+                .map(|&(domain, share)| (state.table.domain(domain).name.clone(), share))
+                .collect(),
+            slots: own.map_or(0, |own| own.room.slots),
+            running: own.map_or(0, |own| own.room.running),
+            age: others
+                .iter()
+                .map(|other| other.room.age)
+                .max()
+                .unwrap_or_default(),
+        };
+        if state.spills.set(pool, shares.unwrap_or_default()) {
+            out.push(Effect::Note(note));
+        }
+    }
+}
+
 /// Handles the platform's answer to a read.
 pub(crate) fn handle_read(
     state: &mut Forwarder,
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -92,7 +92,9 @@
         | Body::LoadReport(_)
         | Body::Objects(_)
         | Body::ObjectsRequest(_)
-        | Body::Fragment(_) => (),
+        | Body::Fragment(_)
+        | Body::Demand(_)
+        | Body::DomainDemand(_) => (),
     }
 }
 
--- a/crates/node/src/text.rs
+++ b/crates/node/src/text.rs
@@ -92,6 +92,11 @@
             Body::Fragment(fragment) => {
                 write!(f, "fragment {} of {}", fragment.index, fragment.count)
             }
+            Body::Demand(pools) => write!(f, "demand for {} pools", pools.len()),
+            Body::DomainDemand(summary) => {
+                let (domain, pools) = (&summary.domain, summary.pools.len());
+                write!(f, "summary of {domain}, {pools} pools")
+            }
         }
     }
 }
--- a/crates/shell/src/packets/trace.rs
+++ b/crates/shell/src/packets/trace.rs
@@ -214,6 +214,22 @@
         Note::Domain { domain, is_cut } => {
             tracing::warn!(event = "domain", domain, is_cut);
         }
+        Note::Spill {
+            pool,
+            is_spilling,
+            shares,
+            slots,
+            running,
+            age,
+        } => tracing::info!(
+            event = "spill",
+            pool,
+            is_spilling,
+            shares_permille = ?shares,
+            slots,
+            running,
+            summaries_age_ms = age.as_millis(),
+        ),
         Note::Resumed { pause } => {
             tracing::warn!(event = "resumed", pause_ms = pause.as_millis());
         }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -12,6 +12,8 @@
 use serde::Serialize;
 
 use crate::coap::Answer;
+use crate::demand::DomainDemand;
+use crate::demand::PoolDemand;
 
 /// A message between balancers, with its sender.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -96,6 +98,10 @@
     ObjectsRequest(Vec<ObjectsRequest>),
     /// A fragment of a frame that is longer than a datagram.
     Fragment(Fragment),
+    /// Demand for pools at the sender, to the balancers of its failure domain.
+    Demand(Vec<PoolDemand>),
+    /// Demand and occupancy of a failure domain, to the balancers of the other ones.
+    DomainDemand(DomainDemand),
 }
 
 /// Load report of a balancer that forwards packets. It replaces the sender's earlier report.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,10 +2,12 @@
 //!
 //! - `token`: the route token, which names the backend server and the owner of a flow.
 //! - `frame`: the frames that balancers exchange.
+//! - `demand`: the parts of frames about demand and occupancy of pools.
 //! - `seal`: authentication and encryption of peer datagrams, and the encoding of frames.
 //! - `coap`: CoAP requests of callers, and the answers to them.
 
 pub mod coap;
+pub mod demand;
 pub mod frame;
 pub mod seal;
 pub mod token;
