Test exchange of demand and spill

Cause: the new modules had no tests. Change: crates/forward/tests/all/spill.rs covers hot domains, failures of domains, reporters and frames, forged input, calm and the byte budget. While a reporter is suspected, the next balancer sends the summaries: a suspicion lasts longer than entries count.

--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -15,6 +15,7 @@
 use conf::key;
 use member::Group;
 use member::Member;
+use member::State;
 use wire::demand::DomainDemand;
 use wire::demand::PoolDemand;
 use wire::demand::PoolSum;
@@ -113,8 +114,20 @@
         (is_peer && member.state.is_live()).then_some(member)
     }
 
+    /// Returns the balancer of a domain that sends its summaries: its reporter, or the next one
+    /// while that one is suspected, since a suspicion may last for several times `ENTRY_MAX_AGE`.
+    fn reporter(&self, domain: &str) -> Option<Incarnation> {
+        let mut owners = self
+            .group
+            .owners_in(domain)
+            .map(|member| (member, member.state));
+        let alive = owners.find(|&(_, state)| state == State::Alive);
+        let alive = alive.map(|(member, _)| member.incarnation);
+        alive.or_else(|| self.group.reporter(domain))
+    }
+
     fn is_reporter(&self) -> bool {
-        self.group.reporter(self.domain) == Some(self.group.local().incarnation)
+        self.reporter(self.domain) == Some(self.group.local().incarnation)
     }
 
     /// Returns whether a failure domain takes part: it is in and not partitioned from here.
@@ -145,7 +158,9 @@
         let now = view.now;
         self.observe_at = now + PERIOD;
         self.update_hashes(view.table);
-        demands.set_live_peers(u32::try_from(view.peers().count()).unwrap_or(u32::MAX));
+        // The callers of a suspected balancer are with the other ones already.
+        let live = view.peers().filter(|member| member.state == State::Alive);
+        demands.set_live_peers(u32::try_from(live.count()).unwrap_or(u32::MAX));
         if let Some(local) = view.table.domain_key(view.domain) {
             let counts = (view.table, view.loads);
             let rooms = self
@@ -263,9 +278,10 @@
             round: (now.0 / ROUND_UNIT.0) as u32,
             pools: pools
                 .iter()
-                .filter_map(|&(pool_hash, pool)| {
-                    let room = demands.domain(now, pool, local)?;
-                    Some(sum_pool(now, demands, pool_hash, pool, room))
+                .map(|&(pool_hash, pool)| {
+                    // Without servers, the domain still has demand.
+                    let room = demands.domain(now, pool, local).unwrap_or_default();
+                    sum_pool(now, demands, pool_hash, pool, room)
                 })
                 .collect(),
         };
@@ -453,10 +469,7 @@
         if domain == view.domain || !member.state.is_live() || reporters.contains_key(domain) {
             continue;
         }
-        let reporter = view
-            .group
-            .reporter(domain)
-            .and_then(|it| view.group.get(it));
+        let reporter = view.reporter(domain).and_then(|it| view.group.get(it));
         let is_reached = !view.group.is_partitioned(domain);
         let reporter = reporter.filter(|_| is_reached);
         reporters.insert(domain, reporter.map(|member| member.peer.datagram));
@@ -470,12 +483,12 @@
     let me = view.group.local().incarnation;
     let root = match is_root {
         true => Some(me),
-        false => view.group.reporter(view.domain),
+        false => view.reporter(view.domain),
     };
     let mut order: Vec<(u64, Incarnation, SocketAddr)> = view
         .group
         .alive_in(view.domain)
-        .filter(|member| Some(member.incarnation) != root)
+        .filter(|member| Some(member.incarnation) != root && member.state == State::Alive)
         .map(|member| {
             let rank = hash::pair(member.incarnation.0, round.into());
             (rank, member.incarnation, member.peer.datagram)
--- a/crates/forward/src/spill.rs
+++ b/crates/forward/src/spill.rs
@@ -22,11 +22,9 @@
 /// server, requests wait in most servers' queues from here on.
 pub const START_PERMILLE: u64 = 850;
 /// The needed part of the own slots under which a domain no longer spills, in permille. Also the
-/// part up to which other domains fill a target, so that it keeps room for its own callers.
+/// part that stays in use while it spills, and up to which other domains fill a target: with counts
+/// that are 0.2 to 0.4 s old, requests wait in queues from about here on.
 pub const END_PERMILLE: u64 = 700;
-/// The part of the own slots that stays in use while a domain spills, in permille: between the two
-/// thresholds, so that neither is crossed by the noise of the counts.
-pub const HOLD_PERMILLE: u64 = 780;
 /// The part of the way to a new share that one update goes, as a divisor. Counts are 0.3 s old at an
 /// update period of 0.2 s, and the queues of a domain that starts to spill still empty meanwhile.
 const STEP_DIVISOR: u64 = 2;
@@ -82,7 +80,7 @@
 
     /// Returns the needed slots beyond those that stay in use while the domain spills.
     fn excess(&self) -> u64 {
-        self.needed().saturating_sub(self.slots(HOLD_PERMILLE))
+        self.needed().saturating_sub(self.slots(END_PERMILLE))
     }
 }
 
--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -10,5 +10,6 @@
 mod promise;
 mod replication;
 mod sim;
+mod spill;
 mod table;
 mod token;
--- a/crates/forward/tests/all/sim/caller.rs
+++ b/crates/forward/tests/all/sim/caller.rs
@@ -127,14 +127,35 @@
         if self.rate <= 0.0 {
             return;
         }
-        let all = self.rate * self.domains as f64;
+        let factors = (0..self.domains).map(|domain| self.surge(domain));
+        let all = self.rate * factors.sum::<f64>();
         // Exponentially distributed intervals: requests arrive as a Poisson process.
         let wait = -self.random.random_range(f64::EPSILON..1.0_f64).ln() / all;
         self.schedule(Span((wait * 1e6) as u64), Task::NewRequest);
     }
 
+    fn surge(&self, domain: usize) -> f64 {
+        self.surges.get(&domain).copied().unwrap_or(1.0)
+    }
+
+    /// Returns the domain of the next caller, at random by their rates.
+    fn random_domain(&mut self) -> usize {
+        if self.surges.is_empty() {
+            return self.random.random_range(0..self.domains);
+        }
+        let sum: f64 = (0..self.domains).map(|domain| self.surge(domain)).sum();
+        let mut offset = self.random.random_range(0.0..sum);
+        for domain in 0..self.domains {
+            offset -= self.surge(domain);
+            if offset < 0.0 {
+                return domain;
+            }
+        }
+        self.domains - 1
+    }
+
     pub(super) fn start_random_request(&mut self) {
-        let domain = self.random.random_range(0..self.domains);
+        let domain = self.random_domain();
         let is_idempotent = self.random.random_range(0..9) < 7;
         if !self.quiet_domains.contains(&domain) {
             self.start_request(domain, is_idempotent);
--- a/crates/forward/tests/all/sim/driver.rs
+++ b/crates/forward/tests/all/sim/driver.rs
@@ -5,6 +5,7 @@
 use base::prelude::*;
 use forward::packet::Verdict;
 use forward::prelude::*;
+use rand::Rng;
 
 use super::balancer_at;
 use super::caller;
@@ -237,12 +238,13 @@
                 if self.is_link_blocked(here, there) || self.is_packet_lost() {
                     return;
                 }
-                let frame = Box::new(frame);
                 let from = balancer;
-                self.schedule(
-                    self.link_latency(here, there),
-                    Task::Frame { to, from, frame },
-                );
+                let latency = self.link_latency(here, there);
+                for delay in self.demand_delays(balancer, &frame) {
+                    let frame = Box::new(frame.clone());
+                    let wait = Span(latency.0 + delay.0);
+                    self.schedule(wait, Task::Frame { to, from, frame });
+                }
             }
             Effect::Announce | Effect::Discover => {
                 self.schedule(Span::millis(10), Task::Discover(balancer, incarnation));
@@ -279,6 +281,31 @@
         }
     }
 
+    /// Counts a frame about demand. Returns the additional delay of each of its arrivals; one of
+    /// zero for any other frame.
+    fn demand_delays(&mut self, balancer: usize, frame: &wire::frame::Frame) -> Vec<Span> {
+        let is_demand = matches!(
+            frame.body,
+            wire::frame::Body::Demand(_) | wire::frame::Body::DomainDemand(_)
+        );
+        if !is_demand {
+            return vec![Span::ZERO];
+        }
+        let bytes = postcard::to_allocvec(frame).expect("frames can be encoded");
+        *self.demand_link.bytes.entry(balancer).or_default() += bytes.len();
+        let link = &self.demand_link;
+        let (loss, delay_max, arrivals) = (link.loss, link.delay_max.0, 1 + link.duplicates);
+        let arrivals = (0..arrivals).map(|_| {
+            let is_lost = loss > 0 && self.random.random_range(0..10_000) < loss;
+            let delay = match delay_max {
+                0 => 0,
+                most => self.random.random_range(0..most),
+            };
+            (!is_lost).then_some(Span(delay))
+        });
+        arrivals.flatten().collect()
+    }
+
     fn is_reachable(&self, from: usize, name: &str) -> bool {
         let server = self.servers.iter().find(|server| server.name == name);
         server.is_some_and(|server| {
--- a/crates/forward/tests/all/sim/mod.rs
+++ b/crates/forward/tests/all/sim/mod.rs
@@ -83,6 +83,19 @@
     pub(crate) is_stopping: bool,
 }
 
+/// The frames about demand that balancers sent, and what the network does to them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct DemandLink {
+    /// The bytes that each balancer sent.
+    pub(crate) bytes: BTreeMap<usize, usize>,
+    /// The number of these frames lost out of 10,000.
+    pub(crate) loss: u32,
+    /// Bounds the additional delay of each frame, which is random.
+    pub(crate) delay_max: Span,
+    /// The number of times that each frame arrives in addition.
+    pub(crate) duplicates: usize,
+}
+
 /// An action that is due at some time.
 ///
 /// Balancers, servers and requests are given by index. A task for another incarnation than the
@@ -158,6 +171,10 @@
     /// The number of requests per second from callers of each domain.
     pub(crate) rate: f64,
     pub(crate) domains: usize,
+    /// The factor on the rate of requests from a domain's callers.
+    pub(crate) surges: BTreeMap<usize, f64>,
+    /// The frames about demand.
+    pub(crate) demand_link: DemandLink,
     /// The domains whose callers start no requests.
     pub(crate) quiet_domains: BTreeSet<usize>,
     /// The health checks that balancers started: the time, the balancer and the server's name.
@@ -228,6 +245,8 @@
             violations: BTreeSet::new(),
             rate: 0.0,
             domains,
+            surges: BTreeMap::new(),
+            demand_link: DemandLink::default(),
             quiet_domains: BTreeSet::new(),
             checks: Vec::new(),
             flows_per_domain: 0,
