Bound and describe the exchange of demand

Cause: a tick encoded frames when none was due, tests did not feed hostile demand of members, and the design was not written down.

--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -32,21 +32,20 @@
 use crate::pressure::Pressure;
 use crate::pressure::PERIOD;
 use crate::pressure::SERVICE_TIME_MAX;
+use crate::recipient;
 use crate::table::Table;
 
 /// Bounds the number of pools in a frame, so that it fits a datagram.
 pub const POOLS_MAX: usize = 32;
 /// The bytes of these frames that one balancer sends per second: a quarter of its control budget of
 /// 12 KB per second. Load reports take half.
-pub const BYTES_PER_S: u64 = 2_800;
+pub const BYTES_PER_S: u64 = 2_700;
 /// The part of these bytes that the rounds of summaries may take at a reporter.
 const SUMMARY_BYTES_PER_S: u64 = 2_000;
 /// Bounds the bytes that are saved up for a burst: half a second's.
 const BURST_BYTES: i64 = BYTES_PER_S as i64 / 2;
 /// Bounds the period of summaries. A receiver misses one and still has an entry that counts.
 const SUMMARY_PERIOD_MAX: Span = Span::millis(700);
-/// The number of balancers to which each one passes a summary on.
-const FANOUT: usize = 2;
 /// The sender's incarnation and the frame's tag, in bytes.
 const HEAD_BYTES: usize = 8;
 /// The unit of round numbers.
@@ -114,22 +113,6 @@
         (is_peer && member.state.is_live()).then_some(member)
     }
 
-    /// Returns the balancer of a domain that sends its summaries: its reporter, or the next one
-    /// while that one is suspected, since a suspicion may last for several times `ENTRY_MAX_AGE`.
-    fn reporter(&self, domain: &str) -> Option<Incarnation> {
-        let mut owners = self
-            .group
-            .owners_in(domain)
-            .map(|member| (member, member.state));
-        let alive = owners.find(|&(_, state)| state == State::Alive);
-        let alive = alive.map(|(member, _)| member.incarnation);
-        alive.or_else(|| self.group.reporter(domain))
-    }
-
-    fn is_reporter(&self) -> bool {
-        self.reporter(self.domain) == Some(self.group.local().incarnation)
-    }
-
     /// Returns whether a failure domain takes part: it is in and not partitioned from here.
     pub fn is_reached(&self, domain: &str) -> bool {
         !self.table.is_domain_out(domain) && !self.group.is_partitioned(domain)
@@ -220,18 +203,26 @@
     ) -> Vec<Outgoing> {
         let now = view.now;
         self.refill(now);
-        let pools = self.pools_to_send(view, demands);
-        if pools.is_empty() {
+        if !self.pressure.is_active() {
             self.pending.clear();
             return Vec::new();
         }
-        let mut frames = self.summary_frames(view, demands, &pools);
+        let is_demand_due = !self.pending.is_empty() || now >= self.demand_at;
+        let is_summary_due = now >= self.summary_at && recipient::is_reporter(view.group);
+        if !(is_summary_due || is_demand_due && self.available > 0) {
+            return Vec::new();
+        }
+        let pools = self.pools_to_send(view, demands);
+        let mut frames = match is_summary_due {
+            true => self.summary_frames(view, demands, &pools),
+            false => Vec::new(),
+        };
         if self.pending.is_empty() && now >= self.demand_at {
             self.demand_at = now + report_period.max(PERIOD);
             self.pending
                 .extend(view.peers().map(|member| member.peer.datagram));
         }
-        if self.available <= 0 || self.pending.is_empty() {
+        if self.available <= 0 || self.pending.is_empty() || pools.is_empty() {
             return frames;
         }
         let demand = pools.iter().map(|&(pool_hash, pool)| {
@@ -269,10 +260,7 @@
         let Some(local) = view.table.domain_key(view.domain) else {
             return Vec::new();
         };
-        if now < self.summary_at || !view.is_reporter() {
-            return Vec::new();
-        }
-        let to = other_reporters(view);
+        let to = recipient::other_reporters(view.group);
         let mut summary = DomainDemand {
             domain: view.domain.to_owned(),
             round: (now.0 / ROUND_UNIT.0) as u32,
@@ -289,7 +277,7 @@
             return Vec::new();
         }
         // A reporter sends its own summary to each other domain, and passes on one of each.
-        let copies = (to.len() * (1 + FANOUT)) as u64;
+        let copies = (to.len() * (1 + recipient::FANOUT)) as u64;
         let round_max = SUMMARY_BYTES_PER_S * SUMMARY_PERIOD_MAX.0 / 1_000_000;
         let mut body = Body::DomainDemand(summary.clone());
         while frame_length(&body) as u64 * copies > round_max && summary.pools.len() > 1 {
@@ -366,7 +354,7 @@
             known.push((pool, parse_sum(sum, balancers_max)));
         }
         demands.apply_domain(now, domain, known);
-        let to = next_hops(view, summary.round, is_origin);
+        let to = recipient::next_hops(view.group, summary.round, is_origin);
         let mut summary = summary;
         summary.pools.truncate(POOLS_MAX);
         let body = Body::DomainDemand(summary);
@@ -460,48 +448,3 @@
         postcard::to_allocvec(body).expect("frames have only types that postcard can encode");
     (HEAD_BYTES + body.len()) as i64
 }
-
-/// Returns the reporters of the other domains that can be reached.
-fn other_reporters(view: &View<'_>) -> Vec<SocketAddr> {
-    let mut reporters: BTreeMap<&str, Option<SocketAddr>> = BTreeMap::new();
-    for member in view.group.members() {
-        let domain = member.domain.as_str();
-        if domain == view.domain || !member.state.is_live() || reporters.contains_key(domain) {
-            continue;
-        }
-        let reporter = view.reporter(domain).and_then(|it| view.group.get(it));
-        let is_reached = !view.group.is_partitioned(domain);
-        let reporter = reporter.filter(|_| is_reached);
-        reporters.insert(domain, reporter.map(|member| member.peer.datagram));
-    }
-    reporters.into_values().flatten().collect()
-}
-
-/// Returns the balancers to which this one passes a summary on. `is_root` says that it received the
-/// summary from the other domain.
-fn next_hops(view: &View<'_>, round: u32, is_root: bool) -> Vec<SocketAddr> {
-    let me = view.group.local().incarnation;
-    let root = match is_root {
-        true => Some(me),
-        false => view.reporter(view.domain),
-    };
-    let mut order: Vec<(u64, Incarnation, SocketAddr)> = view
-        .group
-        .alive_in(view.domain)
-        .filter(|member| Some(member.incarnation) != root && member.state == State::Alive)
-        .map(|member| {
-            let rank = hash::pair(member.incarnation.0, round.into());
-            (rank, member.incarnation, member.peer.datagram)
-        })
-        .collect();
-    order.sort_unstable();
-    let first = match is_root {
-        true => 0,
-        false => {
-            let place = order.iter().position(|&(_, member, _)| member == me);
-            place.map_or(order.len(), |place| (place + 1) * FANOUT)
-        }
-    };
-    let hops = order.into_iter().skip(first).take(FANOUT);
-    hops.map(|(.., to)| to).collect()
-}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -35,6 +35,7 @@
 //! - `demand`: demand for each pool, here, at peers and in other failure domains.
 //! - `pressure`: the taken slots of the own failure domain.
 //! - `exchange`: the frames about demand and occupancy.
+//! - `recipient`: the recipients of summaries between failure domains.
 //! - `spill`: the share of new flows that other failure domains take.
 //! - `patch`: deltas between versions of large objects.
 //! - `tick`: timers, reads of the platform and how their results are put in force.
@@ -64,6 +65,7 @@
 pub mod patch;
 pub mod prelude;
 pub mod pressure;
+pub mod recipient;
 pub mod role;
 pub mod select;
 pub mod setting;
--- a/crates/forward/src/pressure.rs
+++ b/crates/forward/src/pressure.rs
@@ -66,6 +66,11 @@
         self.named.insert(pool, now);
     }
 
+    /// Returns whether any pool is pressed here or named as pressed.
+    pub fn is_active(&self) -> bool {
+        !self.named.is_empty() || self.pools.values().any(Count::is_pressed)
+    }
+
     /// Returns the pools that are pressed here or that a frame has named as pressed.
     pub fn active(&self) -> Vec<key::Pool> {
         let pressed = self.pools.iter().filter(|(_, count)| count.is_pressed());
--- a/crates/forward/tests/all/fleet.rs
+++ b/crates/forward/tests/all/fleet.rs
@@ -1,12 +1,18 @@
 //! Tests of large deployments: work and messages that must not grow with the number of balancers.
 
 use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
 
 use base::prelude::*;
 use forward::health;
 use forward::load;
+use forward::prelude::*;
 
 use crate::sim::Simulation;
+use crate::sim::POOL;
+use crate::sim::SERVICE;
+use crate::sim::START;
 
 /// The number of failure domains.
 const DOMAINS: usize = 5;
@@ -150,3 +156,78 @@
         assert_eq!(known, balancers + 1, "b{balancer}");
     }
 }
+
+/// Returns the service address of a pool, and its name.
+fn service(number: u16) -> (SocketAddrV4, String) {
+    let [high, low] = number.to_be_bytes();
+    match number {
+        0 => (SERVICE, POOL.to_owned()),
+        _ => (
+            SocketAddrV4::new(Ipv4Addr::new(198, 19, high, low), 443),
+            format!("pool-{number}"),
+        ),
+    }
+}
+
+/// Opens a flow through each balancer to each of the first `pools` pools, every 500 ms.
+fn open_flows(sim: &mut Simulation, pools: u16, rounds: usize) {
+    for _ in 0..rounds {
+        let now = sim.now;
+        let caller = (now.since(START).as_millis() * 100) as u32;
+        let balancers = sim.balancers.iter_mut().enumerate();
+        for (index, reducer) in
+            balancers.filter_map(|(i, state)| Some((i, state.reducer.as_mut()?)))
+        {
+            for number in 0..pools {
+                let caller = Ipv4Addr::from(0x6400_0000 + caller + u32::from(number));
+                let mut head = Head {
+                    flags: Flags::default(),
+                    length: 0,
+                    seq: 1,
+                    ack: 0,
+                    token: Token(0),
+                    caller: SocketAddrV4::new(caller, 1024 + index as u16),
+                    service: service(number).0,
+                };
+                head.flags.syn = true;
+                reducer.handle_packet(now, &head, &mut Vec::new());
+            }
+        }
+        sim.run_for(Span::millis(500));
+    }
+}
+
+/// Load: at the largest deployment, 32 of 680 pools are pressed in all domains.
+#[test]
+fn demand_of_450_balancers_stays_within_its_budget() {
+    let mut sim = Simulation::new(67, 8, 450, 0);
+    for number in 0..680 {
+        for domain in [number, number + 3] {
+            sim.add_server(usize::from(domain) % 8, &service(number).1);
+        }
+    }
+    sim.write_routing_with(|routing| {
+        for number in 1..680 {
+            let (mut route, mut pool) = (routing.routes[0].clone(), routing.pools[0].clone());
+            (route.address, pool.name) = (service(number).0.into(), service(number).1);
+            route.shares[0].pool = pool.name.clone();
+            routing.routes.push(route);
+            routing.pools.push(pool);
+        }
+    });
+    sim.run_for(Span::secs(3));
+    open_flows(&mut sim, 32, 2);
+    sim.demand_link.bytes.clear();
+    open_flows(&mut sim, 32, 8);
+    let rates: Vec<usize> = sim
+        .demand_link
+        .bytes
+        .values()
+        .map(|bytes| bytes / 4)
+        .collect();
+    assert_eq!(rates.len(), 450, "all balancers must take part");
+    let most = rates.iter().copied().max().unwrap_or_default();
+    let mean = rates.iter().sum::<usize>() / rates.len();
+    assert!(most < 3_000, "at most {most} B/s, {mean} on average");
+    println!("at most {most} B/s, {mean} on average");
+}
--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the reducer in a simulated deployment with virtual time, and of its modules.
 
+mod demand;
 mod fleet;
 mod flow;
 mod golden;
--- a/crates/shell/src/packets/trace.rs
+++ b/crates/shell/src/packets/trace.rs
@@ -243,6 +243,7 @@
     }
 }
 
+/// Returns whether a decision is on flows, so that its lines may come at a high rate.
 fn is_flow_note(note: &Note) -> bool {
     matches!(
         note,
@@ -252,5 +253,6 @@
             | Note::Moved { .. }
             | Note::Expired { .. }
             | Note::Reset { .. }
+            | Note::Spill { .. }
     )
 }
--- a/crates/wire/tests/common/mod.rs
+++ b/crates/wire/tests/common/mod.rs
@@ -10,6 +10,9 @@
 use proptest::sample::Index;
 use proptest::test_runner::RngSeed;
 use wire::coap::Answer;
+use wire::demand::DomainDemand;
+use wire::demand::PoolDemand;
+use wire::demand::PoolSum;
 use wire::frame::Body;
 use wire::frame::Frame;
 use wire::frame::Gossip;
@@ -149,6 +152,43 @@
         })
 }
 
+fn demand() -> impl Strategy<Value = Body> {
+    let offered = prop::collection::vec(any::<(u8, u16)>(), 0..9);
+    let pool = (any::<(u32, u16, bool)>(), offered);
+    let pool = pool.prop_map(|((pool_hash, committed, is_pressed), offered)| PoolDemand {
+        pool_hash,
+        offered,
+        committed,
+        is_pressed,
+    });
+    prop::collection::vec(pool, 0..33).prop_map(Body::Demand)
+}
+
+fn summary() -> impl Strategy<Value = Body> {
+    let offered = prop::collection::vec(any::<(u8, u32)>(), 0..9);
+    let pool = (any::<(u32, u32, u16, u32, u32, u32)>(), offered);
+    let pool = pool.prop_map(|(numbers, offered)| {
+        let (pool_hash, committed, balancers, slots, running, service_us) = numbers;
+        PoolSum {
+            pool_hash,
+            offered,
+            committed,
+            balancers,
+            slots,
+            running,
+            service_us,
+        }
+    });
+    let pools = prop::collection::vec(pool, 0..33);
+    ("[a-z0-9-]{0,20}", any::<u32>(), pools).prop_map(|(domain, round, pools)| {
+        Body::DomainDemand(DomainDemand {
+            domain,
+            round,
+            pools,
+        })
+    })
+}
+
 /// Generates frames of the kinds that carry data of callers or peers.
 pub(crate) fn frame() -> impl Strategy<Value = Frame> {
     let gossip =
@@ -163,6 +203,8 @@
         relay().prop_map(Body::Relay),
         handover().prop_map(Body::Handover),
         gossip.prop_map(|gossip| Body::Ping { seq: 1, gossip }),
+        demand(),
+        summary(),
         prop::collection::vec(data(100), 0..8).prop_map(|objects| Body::Delta {
             since: 1,
             upto: 2,
