--- a/crates/forward/tests/all/spill.rs
+++ b/crates/forward/tests/all/spill.rs
@@ -3,17 +3,24 @@
 use base::prelude::*;
 use conf::key;
 use cranelift_entity::EntityRef;
+use forward::count::Kind;
 use forward::demand::Demands;
 use forward::demand::Rate;
 use forward::demand::Room;
 use forward::demand::Summary;
+use forward::prelude::*;
 use forward::spill;
 use forward::spill::Occupancy;
 use forward::spill::Shares;
+use wire::demand::DomainDemand;
+use wire::demand::PoolSum;
+use wire::frame::Body;
+use wire::frame::Frame;
 
 use crate::sim::domain_name;
 use crate::sim::Outcome;
 use crate::sim::Simulation;
+use crate::sim::POOL;
 
 /// The rate of each domain's callers at which a third of the slots is taken.
 const CALM_RATE: f64 = 110.0;
@@ -213,6 +220,17 @@
         sim.run_for(Span::secs(4));
         let to = sim.now;
         assert!(share(&sim, 0) > 0, "the domain must spill");
+        let count = |kind| {
+            [0, 3, 6]
+                .map(|b| sim.reducer(b).counts().get(kind))
+                .iter()
+                .sum::<u64>()
+        };
+        let (spilled, opening) = (count(Kind::Spilled), count(Kind::Opening));
+        assert!(
+            spilled * 20 > opening,
+            "{spilled} of {opening} flows spilled"
+        );
         sim.surges.clear();
         sim.run_for(Span::secs(2));
         let worst = p99(&sim, 0, from, to);
@@ -396,6 +414,40 @@
     assert_eq!(share(&sim, 0), 0);
 }
 
+/// Failure: a summary arrives twice, or after a later one.
+#[test]
+fn an_old_summary_is_neither_applied_nor_passed_on() {
+    let mut sim = Simulation::new(68, 3, 9, 18).with_rate(30.0);
+    sim.run_for(Span::secs(4));
+    let (pool, from) = (pool(&sim), sim.reducer(1).incarnation());
+    let mut reducer = sim.reducer(0).clone();
+    let mut apply = |round, committed| {
+        let sum = PoolSum {
+            pool_hash: forward::exchange::pool_hash(POOL),
+            committed,
+            ..PoolSum::default()
+        };
+        let body = Body::DomainDemand(DomainDemand {
+            domain: domain_name(1),
+            round,
+            pools: vec![sum],
+        });
+        let (peer, mut out) = (([10, 0, 0, 1], 7000).into(), Vec::new());
+        let frame = Frame { from, body };
+        reducer.step(sim.now, Event::Frame { peer, frame }, &mut out);
+        let total = reducer.demands().total(sim.now, pool);
+        (total.committed.0, out.len())
+    };
+    assert_eq!(
+        apply(7, 500),
+        (500, 2),
+        "it must be passed on to both peers"
+    );
+    assert_eq!(apply(7, 400), (500, 0));
+    assert_eq!(apply(6, 400), (500, 0));
+    assert_eq!(apply(8, 400), (400, 2));
+}
+
 /// Load: callers take a tenth of the slots.
 #[test]
 fn nothing_is_sent_in_calm() {
