--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -66,12 +66,37 @@
 /// The demand at all balancers of the failure domain.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Total {
-    /// The rates.
-    pub demand: Demand,
+    /// The rate of new flows, by priority.
+    pub offered: [Rate; PRIORITIES],
+    /// The rate of requests on open flows.
+    pub committed: Rate,
     /// The age of the oldest part.
     pub age: Span,
 }
 
+impl Total {
+    /// Returns the demand with the requests on open flows divided by priority, as this balancer's
+    /// `own` are. Without any of its own, they count as the least urgent, so that they do not keep
+    /// out new flows.
+    fn demand(&self, own: &Demand) -> Demand {
+        let own_sum: u64 = own.committed.iter().map(|&rate| u64::from(rate)).sum();
+        let mut committed = [0; PRIORITIES];
+        match own_sum {
+            0 => committed[PRIORITIES - 1] = self.committed,
+            _ => {
+                for (part, &rate) in committed.iter_mut().zip(&own.committed) {
+                    let scaled = u64::from(self.committed) * u64::from(rate) / own_sum;
+                    *part = Rate::try_from(scaled).unwrap_or(Rate::MAX);
+                }
+            }
+        }
+        Demand {
+            offered: self.offered,
+            committed,
+        }
+    }
+}
+
 /// The data behind a decision, for the log and the dump.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Basis {
@@ -237,7 +262,7 @@
             _ => return Decision::Free,
         };
         let own = pool.meter.demand(now);
-        let demand = total.map_or(own, |total| total.demand);
+        let demand = total.map_or(own, |total| total.demand(&own));
         let index = share::index(priority);
         let admitted = share::admit(capacity, &demand)[index];
         let offered = demand.offered[index];
--- a/crates/forward/src/established.rs
+++ b/crates/forward/src/established.rs
@@ -224,7 +224,10 @@
 fn record_request(state: &mut Forwarder, id: Id, server: key::Server) {
     let pool = state.table.server(server).pool;
     if let (Some(pool), Some(route)) = (pool, state.table.route(id.service)) {
-        state.admission.record_request(state.now, pool, route.priority);
+        state
+            .admission
+            .record_request(state.now, pool, route.priority);
+        state.demands.record_request(state.now, pool);
     }
 }
 
--- a/crates/forward/src/opening.rs
+++ b/crates/forward/src/opening.rs
@@ -50,6 +50,9 @@
         return refuse_flow(state, id, Code::Overloaded, out);
     }
     if let Some(pool) = pool {
+        if head.ack == 0 {
+            state.demands.record_opening(state.now, pool, priority);
+        }
         // Selection defers a copy of an opening packet that never came here while no slot is free.
         if head.ack == 0 && !admit_flow(state, id, pool, priority, out) {
             return Verdict::Reset(Code::Overloaded);
@@ -60,7 +63,10 @@
         None => Selection::Unavailable,
     };
     match selection {
-        Selection::Server(server, basis) => record_and_forward(state, id, server, basis),
+        Selection::Server(server, basis) => {
+            count_spilled(state, id, server);
+            record_and_forward(state, id, server, basis)
+        }
         Selection::Saturated => defer_packet(state, id, head.ack, Code::SlotsTaken, out),
         Selection::ColdLimited if head.ack < LAST_RETRANSMISSION => {
             defer_packet(state, id, head.ack, Code::FlowHeld, out)
@@ -89,7 +95,15 @@
         now: state.now,
         pool,
     };
-    let decision = state.admission.decide(&supply, priority, id.hash(), None);
+    let (offer, balancers, age) = state.demands.local(state.now, pool);
+    let total = (balancers > 1).then(|| admission::Total {
+        offered: offer.offered.map(|rate| rate.0),
+        committed: offer.committed.0,
+        age,
+    });
+    let decision = state
+        .admission
+        .decide(&supply, priority, id.hash(), total.as_ref());
     let (basis, is_admitted) = match decision {
         Decision::Free => return true,
         Decision::Admitted(basis) => (basis, true),
@@ -107,6 +121,16 @@
     is_admitted
 }
 
+fn count_spilled(state: &mut Forwarder, id: Id, server: key::Server) {
+    let row = state.table.server(server);
+    let preferred = row
+        .pool
+        .and_then(|pool| state.spills.domain_for(pool, id.hash()));
+    if preferred == Some(row.domain) {
+        state.counts.add(Kind::Spilled);
+    }
+}
+
 /// Drops an opening packet, so that the caller's retransmission is assigned to a server or refused.
 fn defer_packet(
     state: &mut Forwarder,
@@ -215,6 +239,7 @@
         speeds: &state.speeds,
         balancer: state.incarnation(),
         local_domain: &state.setting.domain,
+        preferred_domain: state.spills.domain_for(pool, id.hash()),
         now: state.now,
         flow: id.hash(),
         except,
--- a/crates/forward/src/select.rs
+++ b/crates/forward/src/select.rs
@@ -58,6 +58,9 @@
     pub balancer: Incarnation,
     /// The balancer's own failure domain.
     pub local_domain: &'a str,
+    /// The failure domain that takes the flow, if it spills (`spill`): its servers count as local,
+    /// and those of the own domain do not.
+    pub preferred_domain: Option<key::Domain>,
     /// The current time.
     pub now: Time,
     /// Hash of the flow.
@@ -258,7 +261,10 @@
 
     fn domain_cost(&self, server: key::Server) -> u64 {
         let domain = self.table.server(server).domain;
-        let is_remote = self.table.domain(domain).name != self.local_domain;
+        let is_remote = match self.preferred_domain {
+            Some(preferred) => domain != preferred,
+            None => self.table.domain(domain).name != self.local_domain,
+        };
         u64::from(is_remote) * REMOTE_DOMAIN_COST
     }
 
--- a/crates/forward/tests/all/admission.rs
+++ b/crates/forward/tests/all/admission.rs
@@ -393,8 +393,8 @@
         age,
         ..Total::default()
     };
-    total.demand.offered[0] = 3_000;
-    total.demand.offered[2] = 15_000;
+    total.offered[0] = 3_000;
+    total.offered[2] = 15_000;
     total
 }
 
--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the reducer in a simulated deployment with virtual time, and of its modules.
 
 mod admission;
+mod demand;
 mod fleet;
 mod flow;
 mod golden;
@@ -12,6 +13,7 @@
 mod promise;
 mod replication;
 mod sim;
+mod spill;
 mod table;
 mod token;
 mod uneven;
--- a/crates/forward/tests/all/uneven.rs
+++ b/crates/forward/tests/all/uneven.rs
@@ -388,6 +388,7 @@
             speeds: &speeds,
             balancer: Incarnation(balancer),
             local_domain: "d0",
+            preferred_domain: None,
             now,
             flow: 9,
             except: None,
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -93,7 +93,9 @@
         | Body::Objects(_)
         | Body::ObjectsRequest(_)
         | Body::Fragment(_)
-        | Body::Speeds(_) => (),
+        | Body::Speeds(_)
+        | Body::Demand(_)
+        | Body::DomainDemand(_) => (),
     }
 }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -12,6 +12,8 @@
 use serde::Serialize;
 
 use crate::coap::Answer;
+use crate::demand::DomainDemand;
+use crate::demand::PoolDemand;
 
 /// A message between balancers, with its sender.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -99,6 +101,10 @@
     /// Service times of slow backend servers, as seen by the sender. It replaces the sender's
     /// earlier frame. For balancers that forward packets.
     Speeds(Vec<Speed>),
+    /// Demand for pools at the sender, to the balancers of its failure domain.
+    Demand(Vec<PoolDemand>),
+    /// Demand and occupancy of a failure domain, to the balancers of the other ones.
+    DomainDemand(DomainDemand),
 }
 
 /// Load report of a balancer that forwards packets. It replaces the sender's earlier report.
