--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -404,6 +404,12 @@
         self.pools[pool].paths[domain].record_handshake(took);
     }
 
+    /// Returns the smoothed time of a handshake with a server of a failure domain, zero before the
+    /// first one.
+    pub fn handshake(&self, pool: key::Pool, domain: key::Domain) -> Span {
+        self.pools[pool].paths[domain].handshake()
+    }
+
     /// Records an answer on a route.
     pub fn record_answer(
         &mut self,
--- a/crates/forward/src/admission/capacity.rs
+++ b/crates/forward/src/admission/capacity.rs
@@ -143,6 +143,11 @@
         }
     }
 
+    /// Returns the smoothed time of a handshake, zero before the first one.
+    pub(super) fn handshake(&self) -> Span {
+        Span(self.handshake.get().unwrap_or_default())
+    }
+
     /// Returns whether recent answers show that requests wait there; `None` without such answers.
     pub(super) fn is_waiting(&self, now: Time) -> Option<bool> {
         let is_known = now.since(self.answered_at) < WAITING_PERIOD;
--- a/crates/forward/src/established.rs
+++ b/crates/forward/src/established.rs
@@ -151,7 +151,9 @@
     }
     state.speeds.record_size(pool, size);
     if !flow.is_resent {
+        let latency = state.admission.handshake(pool, row.domain);
         let took = now.since(flow.data_sent_at);
+        let took = Span(took.0.saturating_sub(latency.0));
         state
             .speeds
             .record(now, server, pool, took, flow.ahead, slots);
--- a/crates/forward/src/speed.rs
+++ b/crates/forward/src/speed.rs
@@ -1,7 +1,7 @@
 //! Service times of backend servers, estimated from the answers that callers acknowledge.
 //!
 //! The time of an answer is divided by the number of requests that were ahead of it, which gives
-//! the service time. It includes the latency of the links. A server's estimate is the mean of the logarithms of its answers relative to
+//! the service time. The latency of the links is subtracted before. A server's estimate is the mean of the logarithms of its answers relative to
 //! the pool, together with the estimates that peers report and with `PRIOR` answers at the pool's
 //! time. Single long requests therefore make no server slow. Without answers the estimate returns
 //! to the pool's, so that a server that recovers is tried.
@@ -81,6 +81,8 @@
 /// The part of an answer's weight in the pool's time if its server is slow. It keeps the pool's time
 /// near that of the others when half of the servers are slow, and lets it follow when all are.
 const SLOW_WEIGHT_DIVISOR: i64 = 4;
+/// The part of its deviation by which an answer above the pool's time moves it.
+const ABOVE_DIVISOR: i64 = 2;
 /// The least weight of a server's own answers that is reported.
 const REPORT_WEIGHT_MIN: i64 = ANSWER / 2;
 /// The number of answers over which the usual size is smoothed.
@@ -177,8 +179,12 @@
             self.log = sample * ANSWER;
         }
         self.weight = (self.weight + weight).min(POOL_ANSWERS_MAX * ANSWER);
-        // Bounded, so that single long requests hardly move it.
-        let deviation = (sample - self.log / ANSWER).clamp(-DOUBLE, DOUBLE);
+        // Bounded, so that single long requests hardly move it. Answers above the pool's time move
+        // it less, so that it stays near that of the faster servers when half of them are slow.
+        let deviation = match (sample - self.log / ANSWER).clamp(-DOUBLE, DOUBLE) {
+            above if above > 0 => above / ABOVE_DIVISOR,
+            below => below,
+        };
         self.log += deviation * ANSWER * weight / self.weight;
     }
 }
