--- a/crates/forward/src/count.rs
+++ b/crates/forward/src/count.rs
@@ -17,6 +17,16 @@
     Moves,
     /// Opening packets dropped because no server could take them yet.
     Held,
+    /// Flows that were admitted while their pool was short of capacity.
+    AdmittedShort,
+    /// Flows of priority 0 that were refused because their pool was short of capacity.
+    RefusedPriority0,
+    /// The same for priority 1.
+    RefusedPriority1,
+    /// The same for priority 2.
+    RefusedPriority2,
+    /// The same for all greater priorities.
+    RefusedPriorityRest,
     /// Flows without an entry because the table was full.
     Unrecorded,
     /// Packets of open flows that were forwarded.
@@ -29,12 +39,22 @@
     Unanswered,
     /// Flows that expired after an idle time, without an end by the caller.
     Quiet,
+    /// Requests that a full server rejected, as far as the sizes of answers show.
+    Rejected,
+    /// Changes of a server to slow.
+    Slowed,
     /// Reads of the platform.
     Reads,
     /// Reads that failed.
     ReadFailures,
     /// Checks of suspected servers.
     Checks,
+    /// Flows assigned to a server of the failure domain to which they spill.
+    Spilled,
+    /// Frames about demand that were sent.
+    DemandFrames,
+    /// Frames about demand that were dropped because their sender may not send them.
+    DemandRejected,
     /// Frames sent to peers.
     Sent,
     /// Frames received from peers.
@@ -45,6 +65,18 @@
 #[derive(Clone, Debug, Default)]
 pub struct Counts([u64; Kind::COUNT]);
 
+impl Kind {
+    /// Returns the counter of refused flows of a priority.
+    pub fn refused(priority: u8) -> Kind {
+        match priority {
+            0 => Kind::RefusedPriority0,
+            1 => Kind::RefusedPriority1,
+            2 => Kind::RefusedPriority2,
+            _ => Kind::RefusedPriorityRest,
+        }
+    }
+}
+
 impl Counts {
     /// Increments a counter.
     pub fn add(&mut self, kind: Kind) {
--- a/crates/forward/src/established.rs
+++ b/crates/forward/src/established.rs
@@ -3,12 +3,15 @@
 use base::prelude::*;
 use conf::key;
 
+use crate::admission;
 use crate::check;
 use crate::count::Kind;
 use crate::effect::Effect;
 use crate::flow::Flow;
 use crate::flow::Id;
 use crate::flow::Phase;
+use crate::flow::REQUEST_TIMEOUT;
+use crate::load;
 use crate::note::Note;
 use crate::packet::Flags;
 use crate::packet::Head;
@@ -17,6 +20,10 @@
 use crate::state::Forwarder;
 use crate::token::Token;
 
+/// The longest time from an opening packet to the data of the flow's first request. A handshake
+/// takes some 10 ms.
+const FIRST_REQUEST_DELAY: Span = Span::millis(100);
+
 /// Decides on a packet other than an opening one. Its token names the backend server.
 pub(crate) fn handle_packet(state: &mut Forwarder, head: &Head, out: &mut Vec<Effect>) -> Verdict {
     let Some(server) = state.table.server_by_mark(head.token.mark(head.service)) else {
@@ -55,6 +62,7 @@
         flow.phase = Phase::Open;
         flow.ack = head.ack;
         let took = now.since(flow.opening_sent_at);
+        record_handshake(state, server, took);
         record_answer(state, server, out);
         out.push(Effect::Opened { took });
     }
@@ -106,11 +114,49 @@
     if flow.ack == head.ack {
         return;
     }
+    let size = head.ack.wrapping_sub(flow.ack);
     flow.ack = head.ack;
-    let (server, was_busy) = (flow.server, std::mem::take(&mut flow.is_busy));
+    let was_busy = std::mem::take(&mut flow.is_busy);
+    let was_due = std::mem::take(&mut flow.awaits_answer);
+    let flow = *flow;
+    if was_due {
+        observe_answer(state, id, &flow, size, was_busy);
+    }
     if was_busy {
-        state.table.server_mut(server).requests -= 1;
-        record_answer(state, server, out);
+        state.table.server_mut(flow.server).requests -= 1;
+    }
+    if was_due {
+        record_speed(state, &flow, size);
+    }
+    // A request that no longer counts may still be answered.
+    if was_busy || was_due {
+        record_answer(state, flow.server, out);
+    }
+}
+
+/// Records the service time that an answer shows, or that its server is full.
+fn record_speed(state: &mut Forwarder, flow: &Flow, size: u32) {
+    let (now, server) = (state.now, flow.server);
+    let row = state.table.server(server);
+    let Some(pool) = row.pool else {
+        return;
+    };
+    let slots = row.slots;
+    // The reports of peers may have shown only later that the slots were taken.
+    let others = load::requests(row, &state.loads, server);
+    let had_free_slot = flow.ahead.max(others) < slots;
+    if state.speeds.is_rejection(pool, size, had_free_slot) {
+        state.counts.add(Kind::Rejected);
+        return state.speeds.record_rejection(now, server, pool);
+    }
+    state.speeds.record_size(pool, size);
+    if !flow.is_resent {
+        let latency = state.admission.handshake(pool, row.domain);
+        let took = now.since(flow.data_sent_at);
+        let took = Span(took.0.saturating_sub(latency.0));
+        state
+            .speeds
+            .record(now, server, pool, took, flow.ahead, slots);
     }
 }
 
@@ -134,8 +180,14 @@
         flow.data_seq = head.seq;
     }
     let (moves, opened_at, basis) = (flow.moves, flow.opened_at, flow.basis);
+    flow.is_resent = is_repeated;
+    let was_due = std::mem::replace(&mut flow.awaits_answer, true);
+    state.table.server_mut(server).requests += u32::from(!was_busy);
+    time_request(state, id, server);
+    if is_logged && !was_due {
+        record_request(state, id, server);
+    }
     let row = state.table.server_mut(server);
-    row.requests += u32::from(!was_busy);
     if is_repeated && !has_progress && row.health.record_unanswered(now, sent_at) {
         state.has_urgent_evidence = true;
         out.push(Effect::Note(Note::Suspected {
@@ -156,6 +208,66 @@
     }
 }
 
+/// Sets how long the request of a flow counts as under way, and what is ahead of it.
+fn time_request(state: &mut Forwarder, id: Id, server: key::Server) {
+    let row = state.table.server(server);
+    let ahead = load::requests(row, &state.loads, server).saturating_sub(1);
+    let timeout = match row.pool {
+        Some(pool) => state.speeds.answer_timeout(state.now, server, pool),
+        None => REQUEST_TIMEOUT,
+    };
+    let flow = flow_mut(state, id);
+    flow.ahead = ahead;
+    flow.request_timeout = timeout;
+    state.flows.queue_request(id);
+}
+
+/// Records a request on a flow that was open already, which nobody can refuse.
+fn record_request(state: &mut Forwarder, id: Id, server: key::Server) {
+    let pool = state.table.server(server).pool;
+    if let (Some(pool), Some(route)) = (pool, state.table.route(id.service)) {
+        state
+            .admission
+            .record_request(state.now, pool, route.priority);
+        state.demands.record_request(state.now, pool);
+    }
+}
+
+fn record_handshake(state: &mut Forwarder, server: key::Server, took: Span) {
+    let row = state.table.server(server);
+    if let Some(pool) = row.pool {
+        state.admission.record_handshake(pool, row.domain, took);
+    }
+}
+
+/// Records an answer for the estimate of the pool's capacity. `was_busy` says whether its request
+/// is still among those under way.
+fn observe_answer(state: &mut Forwarder, id: Id, flow: &Flow, bytes: u32, was_busy: bool) {
+    let row = state.table.server(flow.server);
+    let (Some(pool), Some(route)) = (row.pool, state.table.route(id.service)) else {
+        return;
+    };
+    let now = state.now;
+    let took = now.since(flow.data_sent_at);
+    // The first request counts as under way from the opening packet on.
+    let is_first = flow.data_sent_at.since(flow.opening_sent_at) < FIRST_REQUEST_DELAY;
+    let answer = admission::Answer {
+        took,
+        counted: match is_first {
+            true => now.since(flow.opening_sent_at),
+            false => took,
+        },
+        bytes,
+        running: row.requests + u32::from(!was_busy) + state.loads.requests(flow.server),
+        slots: row.slots,
+        target: route.target,
+    };
+    let domain = row.domain;
+    state
+        .admission
+        .record_answer(now, id.service, pool, domain, &answer);
+}
+
 /// Records that a server has answered a caller.
 fn record_answer(state: &mut Forwarder, server: key::Server, out: &mut Vec<Effect>) {
     let now = state.now;
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -15,7 +15,9 @@
 //! - `state`: the reducer, its state, readiness and the ownership of servers.
 //! - `opening`: opening packets: server selection, retransmissions and refusals.
 //! - `established`: packets of open flows, forwarded by route token.
+//! - `admission`: refusal of new flows by urgency while capacity is short.
 //! - `select`: load balancing: the backend server of a new flow.
+//! - `speed`: service times of backend servers, from their answers.
 //! - `health`: passive failure detection of backend servers, confirmed by health checks.
 //! - `check`: scheduling and results of those health checks.
 //! - `cold`: slow start: the rate at which a cold backend server receives flows.
@@ -34,6 +36,11 @@
 //! - `contact`: which failure domains' balancers this one hears.
 //! - `load`: load reports of other balancers, and the sums that selection uses.
 //! - `report`: exchange of load reports and restart hints.
+//! - `demand`: demand for each pool, here, at peers and in other failure domains.
+//! - `pressure`: the taken slots of the own failure domain.
+//! - `exchange`: the frames about demand and occupancy.
+//! - `recipient`: the recipients of summaries between failure domains.
+//! - `spill`: the share of new flows that other failure domains take.
 //! - `patch`: deltas between versions of large objects.
 //! - `tick`: timers, reads of the platform and how their results are put in force.
 //!
@@ -46,13 +53,16 @@
 //! - `setting`: settings and their defaults.
 //! - `prelude`: the types that a driver imports.
 
+pub mod admission;
 pub mod check;
 pub mod codec;
 pub mod cold;
 pub mod contact;
 pub mod count;
+pub mod demand;
 pub mod effect;
 pub mod event;
+pub mod exchange;
 pub mod feed;
 pub mod flow;
 pub mod health;
@@ -61,10 +71,14 @@
 pub mod packet;
 pub mod patch;
 pub mod prelude;
+pub mod pressure;
 pub mod reach;
+pub mod recipient;
 pub mod role;
 pub mod select;
 pub mod setting;
+pub mod speed;
+pub mod spill;
 pub mod state;
 pub mod table;
 pub mod tick;
--- a/crates/forward/src/note.rs
+++ b/crates/forward/src/note.rs
@@ -5,6 +5,7 @@
 use base::prelude::*;
 use conf::object::Kind;
 
+use crate::admission;
 use crate::flow::Basis;
 use crate::flow::Id;
 
@@ -38,6 +39,16 @@
         /// Staleness of the backend servers; `None` before their first listing.
         age: Option<Span>,
     },
+    /// The pool of a new flow is short of capacity, and the flow was admitted or refused by its
+    /// priority's share.
+    Admission {
+        /// The flow.
+        flow: Id,
+        /// Whether it was admitted.
+        is_admitted: bool,
+        /// The data behind the decision.
+        basis: admission::Basis,
+    },
     /// An opening packet was dropped, so that the caller's retransmission is assigned to a server
     /// or refused.
     Deferred {
@@ -120,6 +131,18 @@
         /// The peer whose check succeeded; `None` for this balancer.
         by: Option<Incarnation>,
     },
+    /// A backend server became slow: it takes at least twice as long as its pool. Or it no longer
+    /// does.
+    SlowServer {
+        /// The server.
+        server: String,
+        /// Whether it is slow now.
+        is_slow: bool,
+        /// Its service time, by the answers of the last 2 s and the reports of the last second.
+        service: Span,
+        /// The pool's service time.
+        pool: Span,
+    },
     /// A suspected backend server is unreachable because repeated checks failed.
     Unreachable {
         /// The server.
@@ -182,6 +205,21 @@
         /// Its new state.
         state: &'static str,
     },
+    /// New flows of a pool started to spill to other failure domains, or stopped to.
+    Spill {
+        /// The pool.
+        pool: String,
+        /// Whether they spill now.
+        is_spilling: bool,
+        /// The domains that take them with their shares, in permille.
+        shares: Vec<(String, u64)>,
+        /// The number of slots of the own domain.
+        slots: u32,
+        /// The number of these that are taken.
+        running: u32,
+        /// The age of the oldest summary that counts.
+        age: Span,
+    },
     /// A failure domain was partitioned from this balancer, or the partition has healed.
     Domain {
         /// The domain.
@@ -217,6 +255,14 @@
         match self {
             Note::Request { flow, server, .. } => write!(f, "{flow}: request to {server}"),
             Note::Refused { flow, code, .. } => write!(f, "{flow}: refused, {code}"),
+            Note::Admission {
+                flow,
+                is_admitted,
+                basis,
+            } => {
+                let outcome = if *is_admitted { "admitted" } else { "refused" };
+                write!(f, "{flow}: {outcome} under shortage, {basis}")
+            }
             Note::Deferred { flow, code, copies } => {
                 write!(f, "{flow}: deferred, retransmission {copies}, {code}")
             }
@@ -238,6 +284,15 @@
                 write!(f, "{server} may have restarted, reported by {by}")
             }
             Note::Recovered { server, .. } => write!(f, "{server} answers again"),
+            Note::SlowServer {
+                server,
+                is_slow,
+                service,
+                pool,
+            } => {
+                let state = if *is_slow { "slow" } else { "no longer slow" };
+                write!(f, "{server} is {state}: {service}, its pool {pool}")
+            }
             Note::Unreachable { server } => write!(f, "{server} is unreachable"),
             Note::Lapsed { server, .. } => {
                 write!(f, "{server} takes no new flows: its entry lapsed")
@@ -252,6 +307,16 @@
             Note::ReadFailing { kind, why, .. } => write!(f, "{kind} cannot be read: {why}"),
             Note::ReadRecovered { kind, .. } => write!(f, "{kind} can be read again"),
             Note::Peer { name, state, .. } => write!(f, "peer {name} {state}"),
+            Note::Spill {
+                pool,
+                is_spilling,
+                slots,
+                running,
+                ..
+            } => {
+                let verb = if *is_spilling { "spills" } else { "stays" };
+                write!(f, "{pool} {verb}: {running} of {slots} slots taken")
+            }
             Note::Domain { domain, is_cut } => match is_cut {
                 true => write!(f, "{domain} is unreachable"),
                 false => write!(f, "{domain} is reachable again"),
--- a/crates/forward/src/opening.rs
+++ b/crates/forward/src/opening.rs
@@ -3,6 +3,8 @@
 use base::prelude::*;
 use conf::key;
 
+use crate::admission;
+use crate::admission::Decision;
 use crate::count::Kind;
 use crate::effect::Effect;
 use crate::flow::Basis;
@@ -42,12 +44,29 @@
     let Some(route) = state.table.route(id.service) else {
         return refuse_flow(state, id, Code::NoService, out);
     };
-    let selection = match route.pool_for(id.hash()) {
+    let (pool, priority) = (route.pool_for(id.hash()), route.priority);
+    if state.admission.is_refused(id.hash()) {
+        state.counts.add(Kind::Copies);
+        return refuse_flow(state, id, Code::Overloaded, out);
+    }
+    if let Some(pool) = pool {
+        if head.ack == 0 {
+            state.demands.record_opening(state.now, pool, priority);
+        }
+        // Selection defers a copy of an opening packet that never came here while no slot is free.
+        if head.ack == 0 && !admit_flow(state, id, pool, priority, out) {
+            return Verdict::Reset(Code::Overloaded);
+        }
+    }
+    let selection = match pool {
         Some(pool) => select_server(state, id, pool, None, head.ack > 0),
         None => Selection::Unavailable,
     };
     match selection {
-        Selection::Server(server, basis) => record_and_forward(state, id, server, basis),
+        Selection::Server(server, basis) => {
+            count_spilled(state, id, server);
+            record_and_forward(state, id, server, basis)
+        }
         Selection::Saturated => defer_packet(state, id, head.ack, Code::SlotsTaken, out),
         Selection::ColdLimited if head.ack < LAST_RETRANSMISSION => {
             defer_packet(state, id, head.ack, Code::FlowHeld, out)
@@ -58,6 +77,60 @@
     }
 }
 
+/// Returns whether a new flow is admitted. Most are without any record; the others are decided by
+/// their priority's share of the pool's capacity.
+fn admit_flow(
+    state: &mut Forwarder,
+    id: Id,
+    pool: key::Pool,
+    priority: u8,
+    out: &mut Vec<Effect>,
+) -> bool {
+    let domain = &state.setting.domain;
+    let supply = admission::Supply {
+        table: &state.table,
+        loads: &state.loads,
+        local_domain: domain,
+        balancers: state.group.alive_in(domain).count() as u32,
+        now: state.now,
+        pool,
+    };
+    let (offer, balancers, age) = state.demands.local(state.now, pool);
+    let total = (balancers > 1).then(|| admission::Total {
+        offered: offer.offered.map(|rate| rate.0),
+        committed: offer.committed.0,
+        age,
+    });
+    let decision = state
+        .admission
+        .decide(&supply, priority, id.hash(), total.as_ref());
+    let (basis, is_admitted) = match decision {
+        Decision::Free => return true,
+        Decision::Admitted(basis) => (basis, true),
+        Decision::Refused(basis) => (basis, false),
+    };
+    state.counts.add(match is_admitted {
+        true => Kind::AdmittedShort,
+        false => Kind::refused(priority),
+    });
+    out.push(Effect::Note(Note::Admission {
+        flow: id,
+        is_admitted,
+        basis,
+    }));
+    is_admitted
+}
+
+fn count_spilled(state: &mut Forwarder, id: Id, server: key::Server) {
+    let row = state.table.server(server);
+    let preferred = row
+        .pool
+        .and_then(|pool| state.spills.domain_for(pool, id.hash()));
+    if preferred == Some(row.domain) {
+        state.counts.add(Kind::Spilled);
+    }
+}
+
 /// Drops an opening packet, so that the caller's retransmission is assigned to a server or refused.
 fn defer_packet(
     state: &mut Forwarder,
@@ -163,7 +236,10 @@
     let selector = Selector {
         table: &state.table,
         loads: &state.loads,
+        speeds: &state.speeds,
+        balancer: state.incarnation(),
         local_domain: &state.setting.domain,
+        preferred_domain: state.spills.domain_for(pool, id.hash()),
         now: state.now,
         flow: id.hash(),
         except,
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -5,13 +5,18 @@
 use base::prelude::*;
 use conf::key;
 use member::Group;
+use wire::frame::Speed;
 
+use crate::admission;
 use crate::check;
 use crate::contact::Contacts;
 use crate::count::Counts;
+use crate::demand::Demands;
 use crate::effect::Effect;
 use crate::established;
 use crate::event::Event;
+use crate::exchange::Exchange;
+use crate::exchange::View;
 use crate::feed::Feeds;
 use crate::flow::Flow;
 use crate::flow::Flows;
@@ -27,6 +32,8 @@
 use crate::report;
 use crate::role::Role;
 use crate::setting::Setting;
+use crate::speed::Speeds;
+use crate::spill::Spills;
 use crate::table;
 use crate::table::Table;
 use crate::tick;
@@ -39,6 +46,11 @@
     pub(crate) table: Table,
     pub(crate) flows: Flows,
     pub(crate) loads: Loads,
+    pub(crate) speeds: Speeds,
+    pub(crate) admission: admission::Gate,
+    pub(crate) demands: Demands,
+    pub(crate) exchange: Exchange,
+    pub(crate) spills: Spills,
     pub(crate) feeds: Feeds,
     pub(crate) group: Group,
     pub(crate) counts: Counts,
@@ -68,13 +80,20 @@
 impl Forwarder {
     /// Returns a balancer without any replicated state.
     pub fn new(setting: Setting, now: Time) -> Forwarder {
+        let group = peer::new_group(&setting, now);
+        let speeds = Speeds::default().with_balancer(group.local().incarnation);
         Forwarder {
-            group: peer::new_group(&setting, now),
+            group,
             setting,
             now,
             table: Table::default(),
             flows: Flows::default(),
             loads: Loads::default(),
+            speeds,
+            admission: admission::Gate::default(),
+            demands: Demands::default(),
+            exchange: Exchange::default(),
+            spills: Spills::default(),
             feeds: Feeds::default(),
             counts: Counts::default(),
             contacts: Contacts::default(),
@@ -211,6 +230,33 @@
         &self.table
     }
 
+    /// Returns the service times of backend servers.
+    pub fn speeds(&self) -> &Speeds {
+        &self.speeds
+    }
+
+    /// Returns the demand that this balancer knows.
+    pub fn demands(&self) -> &Demands {
+        &self.demands
+    }
+
+    /// Returns the shares of the pools that spill to other failure domains.
+    pub fn spills(&self) -> &Spills {
+        &self.spills
+    }
+
+    /// Returns the exchange of demand, with the state that it reads and the demand that it changes.
+    pub(crate) fn exchange_parts(&mut self) -> (&mut Exchange, &mut Demands, View<'_>) {
+        let view = View {
+            now: self.now,
+            table: &self.table,
+            loads: &self.loads,
+            group: &self.group,
+            domain: &self.setting.domain,
+        };
+        (&mut self.exchange, &mut self.demands, view)
+    }
+
     /// Returns the number of flows in the flow table.
     pub fn flows(&self) -> usize {
         self.flows.len()
@@ -260,6 +306,14 @@
         load::report_period(peer::domain_peers(self).count() as u64)
     }
 
+    /// Applies the service times that a member reports. A forged sender adds no state.
+    pub(crate) fn apply_speeds(&mut self, from: Incarnation, speeds: &[Speed]) {
+        if self.group.get(from).is_some() {
+            self.speeds
+                .apply_report(self.now, from, speeds, &self.table);
+        }
+    }
+
     /// Adds a flow. Returns whether there was room.
     pub(crate) fn insert_flow(&mut self, id: Id, flow: Flow) -> bool {
         let is_inserted = self.flows.insert(id, flow);
--- a/crates/forward/src/table.rs
+++ b/crates/forward/src/table.rs
@@ -53,6 +53,14 @@
     shares: Vec<(key::Pool, u32)>,
     /// The sum of the weights.
     total: u64,
+    /// Urgency of its requests. 0 is the most urgent.
+    pub priority: u8,
+    /// Time after which callers no longer wait for a response.
+    pub timeout: Span,
+    /// Time within which callers want a response.
+    pub target: Span,
+    /// Kind of its requests.
+    pub kind: object::Traffic,
 }
 
 /// A failure domain.
@@ -121,6 +129,11 @@
         self.pools.values()
     }
 
+    /// Returns all pools that any applied object has named, with their keys.
+    pub fn pool_entries(&self) -> impl Iterator<Item = (key::Pool, &Pool)> {
+        self.pools.iter()
+    }
+
     /// Returns the backend server with a mark.
     pub fn server_by_mark(&self, mark: Mark) -> Option<key::Server> {
         self.marks.get(&mark).copied()
@@ -148,6 +161,11 @@
         &self.domains[domain]
     }
 
+    /// Returns the failure domain with a name.
+    pub fn domain_key(&self, name: &str) -> Option<key::Domain> {
+        self.domain_names.get(name).copied()
+    }
+
     /// Returns whether the failure domain with a name is out.
     pub fn is_domain_out(&self, name: &str) -> bool {
         let domain = self.domain_names.get(name);
@@ -234,7 +252,15 @@
                 .map(|share| (self.intern_pool(&share.pool), share.weight))
                 .collect();
             let total = shares.iter().map(|&(_, weight)| u64::from(weight)).sum();
-            self.routes.insert(address, Route { shares, total });
+            let route = Route {
+                shares,
+                total,
+                priority: route.priority,
+                timeout: route.timeout,
+                target: route.target,
+                kind: route.kind,
+            };
+            self.routes.insert(address, route);
         }
     }
 
--- a/crates/forward/src/tick.rs
+++ b/crates/forward/src/tick.rs
@@ -1,5 +1,7 @@
 //! Timers, reads of the platform, and how their results are put in force.
 
+use std::net::SocketAddr;
+
 use base::prelude::*;
 use conf::object::Body;
 use conf::object::Kind;
@@ -19,6 +21,7 @@
 use crate::report;
 use crate::role::Role;
 use crate::role::Tier;
+use crate::spill;
 use crate::state::Forwarder;
 
 /// The period of `Event::Tick`.
@@ -83,6 +86,7 @@
         expire_servers(state, out);
         observe_store(state);
         state.loads.expire_reports(now);
+        expire_demand(state);
         check::settle(state, out);
         check::suspect_domains(state, out);
     }
@@ -91,6 +95,7 @@
     start_reads(state, out);
     publish_load(state, out);
     report::publish_restart_hints(state, out);
+    exchange_demand(state, out);
     let is_ready = state.is_ready();
     if is_ready != state.was_ready {
         state.was_ready = is_ready;
@@ -224,10 +229,111 @@
         let report = load::build_report(&mut state.table, now, now < state.repeat_until);
         report::publish(state, report, out);
     }
+    review_speeds(state, out);
     let mut rows = state.table.servers();
     state.has_urgent_evidence = rows.any(|(_, row)| row.is_present() && row.health.is_urgent());
 }
 
+/// Logs changes of servers' speeds, and sends the slow ones to peers.
+fn review_speeds(state: &mut Forwarder, out: &mut Vec<Effect>) {
+    let Some(review) = state.speeds.review(state.now, &state.table) else {
+        return;
+    };
+    for change in review.changes {
+        if change.is_slow {
+            state.counts.add(count::Kind::Slowed);
+        }
+        out.push(Effect::Note(Note::SlowServer {
+            server: state.table.server(change.server).name.clone(),
+            is_slow: change.is_slow,
+            service: change.service,
+            pool: change.pool,
+        }));
+    }
+    if review.report.is_empty() {
+        return;
+    }
+    let local: Vec<SocketAddr> = peer::domain_peers(state)
+        .map(|member| member.peer.datagram)
+        .collect();
+    let members = state.group.members();
+    let remote: Vec<SocketAddr> = members
+        .filter(|member| member.state.is_live() && member.domain != state.setting.domain)
+        .map(|member| member.peer.datagram)
+        .collect();
+    let servers = review.report.len();
+    for to in state.speeds.recipients(&local, &remote, servers) {
+        peer::send_frame(
+            state,
+            to,
+            wire::frame::Body::Speeds(review.report.clone()),
+            out,
+        );
+    }
+}
+
+/// Removes the demand of balancers and failure domains that do not count any more.
+fn expire_demand(state: &mut Forwarder) {
+    let (_, demands, view) = state.exchange_parts();
+    let is_peer = |from| {
+        let member = view.group.get(from);
+        member.is_some_and(|member| member.state.is_live() && member.domain == view.domain)
+    };
+    let is_reached = |domain| view.is_reached(&view.table.domain(domain).name);
+    demands.expire(view.now, is_peer, is_reached);
+}
+
+/// Updates the occupancy and the shares that spill when they are due, and sends demand.
+fn exchange_demand(state: &mut Forwarder, out: &mut Vec<Effect>) {
+    let report_period = state.report_period();
+    let (exchange, demands, view) = state.exchange_parts();
+    let is_due = exchange.is_due(view.now);
+    if is_due {
+        exchange.observe(&view, demands, |_| None);
+    }
+    let frames = exchange.frames(&view, demands, report_period);
+    report::send_demand(state, frames, out);
+    if is_due {
+        update_spills(state, out);
+    }
+}
+
+fn update_spills(state: &mut Forwarder, out: &mut Vec<Effect>) {
+    let mut pools = state.exchange.active();
+    pools.extend(state.spills.iter().map(|(pool, _)| pool));
+    pools.sort_unstable();
+    pools.dedup();
+    if pools.is_empty() {
+        return;
+    }
+    let responsive = spill::responsive_domains(&state.table);
+    for pool in pools {
+        let (_, demands, view) = state.exchange_parts();
+        let (own, others) = spill::occupancies(&view, demands, &responsive, pool);
+        let previous = state.spills.get(pool).cloned().unwrap_or_default();
+        let shares = own.map(|own| spill::shares(&own, &others, &previous));
+        let note = Note::Spill {
+            pool: state.table.pool(pool).object.name.clone(),
+            is_spilling: !previous.is_spilling,
+            shares: shares
+                .iter()
+                .flat_map(|shares| &shares.parts)
+                .map(|&(domain, share)| (state.table.domain(domain).name.clone(), share))
+                .collect(),
+            slots: own.map_or(0, |own| own.room.slots),
+            running: own.map_or(0, |own| own.room.running),
+            age: others
+                .iter()
+                .map(|other| other.room.age)
+                .max()
+                .unwrap_or_default(),
+        };
+        if state.spills.set(pool, shares.unwrap_or_default()) {
+            out.push(Effect::Note(note));
+        }
+    }
+}
+
 /// Handles the platform's answer to a read.
 pub(crate) fn handle_read(
     state: &mut Forwarder,
--- a/crates/forward/tests/all/sim/caller.rs
+++ b/crates/forward/tests/all/sim/caller.rs
@@ -12,6 +12,7 @@
 use super::Simulation;
 use super::Task;
 use super::Violation;
+use super::CALLER_LATENCY;
 use super::SERVICE;
 
 /// The delays after which an unanswered opening packet is retransmitted.
@@ -30,6 +31,10 @@
 const REQUEST_BYTES: u16 = 300;
 /// The size of a response.
 const RESPONSE_BYTES: u32 = 1_000;
+/// The size of an answer that refuses a request.
+const SHED_BYTES: u32 = 120;
+/// The time after which a caller acknowledges an answer of a single packet.
+const ACKNOWLEDGEMENT_DELAY: Span = Span::millis(80);
 
 /// The outcome of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,6 +55,7 @@
     pub(crate) started_at: Time,
     pub(crate) domain: usize,
     pub(crate) is_idempotent: bool,
+    pub(crate) service: SocketAddrV4,
     pub(crate) outcome: Outcome,
     /// How often servers have started to run it.
     pub(crate) runs: u32,
@@ -127,28 +133,66 @@
         if self.rate <= 0.0 {
             return;
         }
-        let all = self.rate * self.domains as f64;
+        let factors = (0..self.domains).map(|domain| self.surge(domain));
+        let all = self.rate * factors.sum::<f64>();
         // Exponentially distributed intervals: requests arrive as a Poisson process.
         let wait = -self.random.random_range(f64::EPSILON..1.0_f64).ln() / all;
         self.schedule(Span((wait * 1e6) as u64), Task::NewRequest);
     }
 
+    fn surge(&self, domain: usize) -> f64 {
+        self.surges.get(&domain).copied().unwrap_or(1.0)
+    }
+
+    /// Returns the domain of the next caller, at random by their rates.
+    fn random_domain(&mut self) -> usize {
+        if self.surges.is_empty() {
+            return self.random.random_range(0..self.domains);
+        }
+        let sum: f64 = (0..self.domains).map(|domain| self.surge(domain)).sum();
+        let mut offset = self.random.random_range(0.0..sum);
+        for domain in 0..self.domains {
+            offset -= self.surge(domain);
+            if offset < 0.0 {
+                return domain;
+            }
+        }
+        self.domains - 1
+    }
+
     pub(super) fn start_random_request(&mut self) {
-        let domain = self.random.random_range(0..self.domains);
+        let domain = self.random_domain();
         let is_idempotent = self.random.random_range(0..9) < 7;
         if !self.quiet_domains.contains(&domain) {
-            self.start_request(domain, is_idempotent);
+            let is_urgent =
+                self.urgent_percent > 0 && self.random.random_range(0..100) < self.urgent_percent;
+            let service = if is_urgent {
+                super::URGENT_SERVICE
+            } else {
+                SERVICE
+            };
+            self.start_request_to(domain, is_idempotent, service);
         }
         self.schedule_request();
     }
 
     /// Starts a request of a caller in a domain.
     pub(crate) fn start_request(&mut self, domain: usize, is_idempotent: bool) -> u32 {
+        self.start_request_to(domain, is_idempotent, SERVICE)
+    }
+
+    fn start_request_to(
+        &mut self,
+        domain: usize,
+        is_idempotent: bool,
+        service: SocketAddrV4,
+    ) -> u32 {
         let index = self.requests.len() as u32;
         self.requests.push(Request {
             started_at: self.now,
             domain,
             is_idempotent,
+            service,
             outcome: Outcome::Pending,
             runs: 0,
             attempts: 0,
@@ -160,7 +204,12 @@
             is_received: false,
         });
         self.schedule(REQUEST_DEADLINE, Task::CallerTimer(index, Timer::Deadline));
-        match self.take_idle_flow(domain) {
+        // Only callers of `SERVICE` keep their flows.
+        let idle = match service == SERVICE {
+            true => self.take_idle_flow(domain),
+            false => None,
+        };
+        match idle {
             Some(flow) => self.start_on_flow(index, flow),
             None => self.start_attempt(index),
         }
@@ -234,7 +283,7 @@
             ack: request.ack,
             token: Token(0),
             caller: request.address,
-            service: SERVICE,
+            service: request.service,
         }
     }
 
@@ -256,6 +305,18 @@
         self.send_packet(index, token, 0, is_last);
     }
 
+    /// Acknowledges a short response after a delay, and ends the flow.
+    fn schedule_end(&mut self, index: u32, token: Token) {
+        let mut head = self.packet_head(index);
+        (head.flags.ack, head.flags.fin, head.token) = (true, true, token);
+        let domain = self.requests[index as usize].domain;
+        if let Some(balancer) = self.balancer_for(domain, head.caller) {
+            let task = Task::BalancerPacket { balancer, head };
+            let wait = Span(ACKNOWLEDGEMENT_DELAY.0 + CALLER_LATENCY.0);
+            self.schedule(wait, task);
+        }
+    }
+
     fn send_packet(&mut self, index: u32, token: Token, length: u16, is_last: bool) {
         let mut head = self.packet_head(index);
         head.flags.ack = true;
@@ -313,7 +374,7 @@
         if !may_retry || request.attempts >= ATTEMPTS_MAX {
             return self.finish_request(index, Outcome::Refused);
         }
-        self.schedule(Span::millis(20), Task::CallerTimer(index, Timer::Retry));
+        self.schedule(self.retry_delay, Task::CallerTimer(index, Timer::Retry));
     }
 
     pub(super) fn handle_caller_packet(&mut self, packet: Packet) {
@@ -353,8 +414,8 @@
                     token,
                 },
             ) => {
-                let keeps_flow = self.flows_per_domain > 0;
                 let request = &mut self.requests[index as usize];
+                let keeps_flow = self.flows_per_domain > 0 && request.service == SERVICE;
                 request.seq += u32::from(REQUEST_BYTES);
                 request.ack += RESPONSE_BYTES;
                 let (domain, flow) = (
@@ -375,7 +436,8 @@
                 }
             }
             (Message::Shed, Phase::Open { token, .. }) => {
-                self.send_end(index, token, true);
+                self.requests[index as usize].ack += SHED_BYTES;
+                self.schedule_end(index, token);
                 // The request was not run, so it may be retried even if it is not idempotent.
                 self.requests[index as usize].phase = Phase::Over;
                 self.retry_request(index);
--- a/crates/forward/tests/all/sim/mod.rs
+++ b/crates/forward/tests/all/sim/mod.rs
@@ -83,6 +83,19 @@
     pub(crate) is_stopping: bool,
 }
 
+/// The frames about demand that balancers sent, and what the network does to them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct DemandLink {
+    /// The bytes that each balancer sent.
+    pub(crate) bytes: BTreeMap<usize, usize>,
+    /// The number of these frames lost out of 10,000.
+    pub(crate) loss: u32,
+    /// Bounds the additional delay of each frame, which is random.
+    pub(crate) delay_max: Span,
+    /// The number of times that each frame arrives in addition.
+    pub(crate) duplicates: usize,
+}
+
 /// An action that is due at some time.
 ///
 /// Balancers, servers and requests are given by index. A task for another incarnation than the
@@ -158,6 +171,10 @@
     /// The number of requests per second from callers of each domain.
     pub(crate) rate: f64,
     pub(crate) domains: usize,
+    /// The factor on the rate of requests from a domain's callers.
+    pub(crate) surges: BTreeMap<usize, f64>,
+    /// The frames about demand.
+    pub(crate) demand_link: DemandLink,
     /// The domains whose callers start no requests.
     pub(crate) quiet_domains: BTreeSet<usize>,
     /// The health checks that balancers started: the time, the balancer and the server's name.
@@ -165,10 +182,18 @@
     /// The number of idle flows that the callers of a domain keep open for further requests; 0 if
     /// they end each flow after its request.
     pub(crate) flows_per_domain: usize,
+    /// The percentage of the requests that go to `URGENT_SERVICE`.
+    pub(crate) urgent_percent: u32,
+    /// The delay before a failed attempt is retried.
+    pub(crate) retry_delay: Span,
+    /// The balancers whose frames to and from others are lost.
+    pub(crate) isolated: BTreeSet<usize>,
     /// The flows that callers of each domain keep open without a request under way.
     pub(crate) idle_flows: BTreeMap<usize, Vec<caller::IdleFlow>>,
     /// The number of attempts, from which each caller address is made.
     next_port: u32,
+    /// How long a server's rejection takes longer than another answer to reach its caller.
+    pub(crate) rejection_delay: Span,
     /// The number of packets and frames lost out of 10,000.
     pub(crate) loss: u32,
     /// The number of objects that balancers sent each other.
@@ -186,6 +211,9 @@
 
 /// The service address of all flows.
 pub(crate) const SERVICE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+/// The service address of a second route to the same pool.
+pub(crate) const URGENT_SERVICE: SocketAddrV4 =
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 2), 443);
 /// The pool that `SERVICE` is routed to.
 pub(crate) const POOL: &str = "rounds";
 
@@ -228,11 +256,17 @@
             violations: BTreeSet::new(),
             rate: 0.0,
             domains,
+            surges: BTreeMap::new(),
+            demand_link: DemandLink::default(),
             quiet_domains: BTreeSet::new(),
             checks: Vec::new(),
             flows_per_domain: 0,
+            urgent_percent: 0,
+            retry_delay: Span::millis(20),
+            isolated: BTreeSet::new(),
             idle_flows: BTreeMap::new(),
             next_port: 0,
+            rejection_delay: Span::ZERO,
             loss: 0,
             published_objects: 0,
             log: Vec::new(),
--- a/crates/shell/src/packets/trace.rs
+++ b/crates/shell/src/packets/trace.rs
@@ -101,6 +101,23 @@
             routing,
             servers_age_ms = age.map(Span::as_millis),
         ),
+        Note::Admission {
+            flow,
+            is_admitted,
+            basis,
+        } => tracing::info!(
+            event = "flow-admission",
+            caller = %flow.caller,
+            service = %flow.service,
+            is_admitted,
+            priority = basis.priority,
+            offered_per_10s = basis.offered,
+            admitted_per_10s = basis.admitted,
+            committed_per_10s = basis.committed,
+            capacity_per_10s = basis.capacity,
+            demand_age_ms = basis.age.map(Span::as_millis),
+            loads_age_ms = basis.loads_age.as_millis(),
+        ),
         Note::Deferred { flow, code, copies } => tracing::info!(
             event = "flow-held",
             caller = %flow.caller,
@@ -165,6 +182,18 @@
             server,
             by = by.map_or_else(|| "itself".to_owned(), |by| by.to_string()),
         ),
+        Note::SlowServer {
+            server,
+            is_slow,
+            service,
+            pool,
+        } => tracing::info!(
+            event = "server-slow",
+            server,
+            is_slow,
+            service_us = service.0,
+            pool_us = pool.0,
+        ),
         Note::Unreachable { server } => tracing::warn!(event = "server-lost", server),
         Note::Reset { flow, server } => tracing::info!(
             event = "flow-given-up",
@@ -214,6 +243,22 @@
         Note::Domain { domain, is_cut } => {
             tracing::warn!(event = "domain", domain, is_cut);
         }
+        Note::Spill {
+            pool,
+            is_spilling,
+            shares,
+            slots,
+            running,
+            age,
+        } => tracing::info!(
+            event = "spill",
+            pool,
+            is_spilling,
+            shares_permille = ?shares,
+            slots,
+            running,
+            summaries_age_ms = age.as_millis(),
+        ),
         Note::Resumed { pause } => {
             tracing::warn!(event = "resumed", pause_ms = pause.as_millis());
         }
@@ -227,14 +272,18 @@
     }
 }
 
+/// Returns whether the number of these lines depends on the load.
 fn is_flow_note(note: &Note) -> bool {
     matches!(
         note,
         Note::Request { .. }
             | Note::Refused { .. }
+            | Note::Admission { .. }
             | Note::Deferred { .. }
             | Note::Moved { .. }
             | Note::Expired { .. }
             | Note::Reset { .. }
+            | Note::SlowServer { .. }
+            | Note::Spill { .. }
     )
 }
