forward: one delay of rejections in the simulation

Cause: two parts each modelled the 80 ms after which a rejection shows, so that the merged simulation waited 160 ms. Change: the caller's delay stays, the server's is gone.

--- a/crates/forward/tests/all/sim/mod.rs
+++ b/crates/forward/tests/all/sim/mod.rs
@@ -192,8 +192,6 @@
     pub(crate) idle_flows: BTreeMap<usize, Vec<caller::IdleFlow>>,
     /// The number of attempts, from which each caller address is made.
     next_port: u32,
-    /// How long a server's rejection takes longer than another answer to reach its caller.
-    pub(crate) rejection_delay: Span,
     /// The number of packets and frames lost out of 10,000.
     pub(crate) loss: u32,
     /// The number of objects that balancers sent each other.
@@ -266,7 +264,6 @@
             isolated: BTreeSet::new(),
             idle_flows: BTreeMap::new(),
             next_port: 0,
-            rejection_delay: Span::ZERO,
             loss: 0,
             published_objects: 0,
             log: Vec::new(),
--- a/crates/forward/tests/all/sim/server.rs
+++ b/crates/forward/tests/all/sim/server.rs
@@ -345,8 +345,7 @@
             from: Some(server),
             message: Message::Shed,
         };
-        let latency = Span(CALLER_LATENCY.0 + self.rejection_delay.0);
-        self.schedule(latency, Task::CallerPacket(packet));
+        self.schedule(CALLER_LATENCY, Task::CallerPacket(packet));
     }
 
     fn start_run(&mut self, server: usize, flow: SocketAddrV4) {
--- a/crates/forward/tests/all/uneven.rs
+++ b/crates/forward/tests/all/uneven.rs
@@ -306,7 +306,6 @@
 #[test]
 fn servers_that_reject_are_counted_as_what_they_hold() {
     let mut sim = Simulation::new(53, 3, 9, 18).with_rate(200.0);
-    sim.rejection_delay = Span::millis(80);
     sim.run_for(Span::secs(4));
     let pool_time = |sim: &Simulation| {
         let reducer = sim.reducer(0);
