forward: a floor under the capacity from answers in time, also with the demand of others

Cause: with the demand of the domain known, the capacity was slots over service time alone; when that time was overestimated, urgent flows were refused. Change: the rate of answers in time, scaled to the domain's demand, is a floor.

--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -254,15 +254,19 @@
         }
         let total = total.filter(|total| total.age <= TOTAL_MAX_AGE);
         let slots = supply.slots();
+        let own = pool.meter.demand(now);
+        let demand = total.map_or(own, |total| total.demand(&own));
+        let least = pool.estimate.least(now);
         let capacity = match pool.estimate.capacity(now, slots) {
-            Some(capacity) if slots > 0 && total.is_some() => capacity,
-            Some(capacity) if slots > 0 => {
-                (capacity / sharers.max(1)).max(pool.estimate.least(now))
+            Some(capacity) if slots > 0 && total.is_some() => {
+                // Others are answered in time as this balancer's callers are.
+                let least = u64::from(least) * u64::from(demand.sum());
+                let least = least / u64::from(own.sum().max(1));
+                capacity.max(Rate::try_from(least).unwrap_or(Rate::MAX))
             }
+            Some(capacity) if slots > 0 => (capacity / sharers.max(1)).max(least),
             _ => return Decision::Free,
         };
-        let own = pool.meter.demand(now);
-        let demand = total.map_or(own, |total| total.demand(&own));
         let index = share::index(priority);
         let admitted = share::admit(capacity, &demand)[index];
         let offered = demand.offered[index];
