forward: lost requests count as load, openings without answer raise suspicion

Change: forward::loss counts lost requests of a server for up to 2 s unless it answers more, here and in load reports.

--- a/crates/forward/src/established.rs
+++ b/crates/forward/src/established.rs
@@ -126,6 +126,8 @@
         state.table.server_mut(flow.server).requests -= 1;
     }
     if was_due {
+        let row = state.table.server_mut(flow.server);
+        row.losses.record_answer(state.now);
         record_speed(state, &flow, size);
     }
     // A request that no longer counts may still be answered.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -35,6 +35,7 @@
 //! - `reach`: whether this balancer's own reads of the platform are answered.
 //! - `contact`: which failure domains' balancers this one hears.
 //! - `load`: load reports of other balancers, and the sums that selection uses.
+//! - `loss`: requests that a backend server left without an answer.
 //! - `report`: exchange of load reports and restart hints.
 //! - `demand`: demand for each pool, here, at peers and in other failure domains.
 //! - `pressure`: the taken slots of the own failure domain.
@@ -67,6 +68,7 @@
 pub mod flow;
 pub mod health;
 pub mod load;
+pub mod loss;
 pub mod note;
 pub mod packet;
 pub mod patch;
--- a/crates/forward/src/load.rs
+++ b/crates/forward/src/load.rs
@@ -149,11 +149,12 @@
     let cleared = take(Evidence::Recovery);
     let rows = || table.servers().filter(|(_, row)| row.is_present());
     let busy = rows()
-        .filter(|(_, row)| row.requests > 0)
+        .map(|(_, row)| (row, row.requests + row.losses.requests(now)))
+        .filter(|&(_, requests)| requests > 0)
         .take(REPORT_SERVERS_MAX)
-        .map(|(_, row)| OpenFlows {
+        .map(|(row, requests)| OpenFlows {
             server_hash: row.mark.0,
-            count: u16::try_from(row.requests).unwrap_or(u16::MAX),
+            count: u16::try_from(requests).unwrap_or(u16::MAX),
         });
     LoadReport {
         servers: busy.collect(),
--- a/crates/forward/src/select.rs
+++ b/crates/forward/src/select.rs
@@ -251,12 +251,14 @@
     }
 
     /// Returns the expected time to an answer of a server with this many requests per slot, in
-    /// requests per slot at a server of usual speed.
+    /// requests per slot at a server of usual speed. Lost requests count as well.
     fn delay(&self, server: key::Server, waiting: u64) -> u64 {
         let slowdown = self.speeds.slowdown(self.now, server);
         // The request itself takes longer as well, also at a server without others.
         let excess = slowdown - speed::UNIT_SLOWDOWN;
-        waiting * slowdown / speed::UNIT_SLOWDOWN + excess * UNIT_COST / speed::UNIT_SLOWDOWN
+        let row = self.table.server(server);
+        let lost = per_slot(row.losses.requests(self.now), row.slots);
+        lost + waiting * slowdown / speed::UNIT_SLOWDOWN + excess * UNIT_COST / speed::UNIT_SLOWDOWN
     }
 
     fn domain_cost(&self, server: key::Server) -> u64 {
--- a/crates/forward/src/table.rs
+++ b/crates/forward/src/table.rs
@@ -19,6 +19,7 @@
 use cranelift_entity::PrimaryMap;
 
 use crate::health::Health;
+use crate::loss::Losses;
 use crate::table::row::Row;
 use crate::table::row::Status;
 use crate::token::Mark;
@@ -441,6 +442,7 @@
             listing_seq: 0,
             open_flows: 0,
             requests: 0,
+            losses: Losses::default(),
             health: Health::default(),
         };
         let key = match self.free_keys.pop() {
--- a/crates/forward/src/table/row.rs
+++ b/crates/forward/src/table/row.rs
@@ -8,6 +8,7 @@
 
 use crate::flow::Flow;
 use crate::health::Health;
+use crate::loss::Losses;
 use crate::packet::Target;
 use crate::table::MISSING_ENTRY_GRACE;
 use crate::token::Mark;
@@ -60,6 +61,8 @@
     pub open_flows: u32,
     /// The number of these that have a request under way.
     pub requests: u32,
+    /// Its lost and answered requests at this balancer.
+    pub losses: Losses,
     /// Its health as seen from unanswered packets and checks.
     pub health: Health,
 }
--- a/crates/forward/src/tick.rs
+++ b/crates/forward/src/tick.rs
@@ -14,6 +14,8 @@
 use crate::feed;
 use crate::feed::Feed;
 use crate::flow::Expired;
+use crate::flow::Flow;
+use crate::flow::Id;
 use crate::flow::Phase;
 use crate::load;
 use crate::note::Note;
@@ -166,7 +168,7 @@
     while let Some((id, expired)) = state.flows.expire(now) {
         let flow = match expired {
             Expired::Request(flow) => {
-                state.table.server_mut(flow.server).requests -= 1;
+                end_request(state, id, &flow, out);
                 continue;
             }
             Expired::Flow(flow) => flow,
@@ -191,6 +193,24 @@
     }
 }
 
+/// Ends a request that had no answer in time. A flow that has not opened by then suggests that its
+/// server has ended and its host resets flows. The server looks idle then, so it has to be suspected
+/// before it attracts all new flows. Its callers send no copy that would show the failure.
+fn end_request(state: &mut Forwarder, id: Id, flow: &Flow, out: &mut Vec<Effect>) {
+    let now = state.now;
+    let row = state.table.server_mut(flow.server);
+    row.requests -= 1;
+    row.losses.record_lost(now);
+    if flow.phase == Phase::Opening && row.health.record_unanswered(now, flow.opening_sent_at) {
+        state.has_urgent_evidence = true;
+        out.push(Effect::Note(Note::Suspected {
+            server: row.name.clone(),
+            flow: id,
+            waited: now.since(flow.opening_sent_at),
+        }));
+    }
+}
+
 fn start_reads(state: &mut Forwarder, out: &mut Vec<Effect>) {
     let now = state.now;
     let role = state.role;
--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod health;
 mod hostile;
 mod load;
+mod loss;
 mod overload;
 mod patch;
 mod promise;
--- a/crates/forward/tests/all/sim/server.rs
+++ b/crates/forward/tests/all/sim/server.rs
@@ -62,6 +62,8 @@
     pub(crate) slowdown: u64,
     /// The share of its requests that take 7 times as long, in percent.
     pub(crate) long_percent: u32,
+    /// Whether it resets the flow of each request, although its health checks succeed.
+    pub(crate) resets_requests: bool,
     /// Counts its restarts.
     pub(crate) incarnation: u32,
     /// The flows by caller address.
@@ -142,6 +144,7 @@
             cold_until: super::START,
             slowdown: 1,
             long_percent: 0,
+            resets_requests: false,
             incarnation: 0,
             flows: BTreeMap::new(),
             data_seqs: BTreeMap::new(),
@@ -273,6 +276,10 @@
                 let state = &mut self.servers[server];
                 state.flows.insert(head.caller, Phase::Open(token));
                 state.data_seqs.insert(head.caller, head.seq);
+                if state.resets_requests {
+                    state.flows.remove(&head.caller);
+                    return self.send_to_caller(server, head.caller, Message::Reset);
+                }
                 self.accept_request(server, head.caller);
             }
             Some(_) if head.flags.fin => {
