forward: admission control for pools whose routes have priorities

Cause: it applied to every pool, also where no route says what is urgent. Change: a pool is controlled if some route to it has a priority.

--- a/crates/forward/src/opening.rs
+++ b/crates/forward/src/opening.rs
@@ -53,8 +53,9 @@
         if head.ack == 0 {
             state.demands.record_opening(state.now, pool, priority);
         }
+        let is_controlled = state.table.pool(pool).has_priorities;
         // Selection defers a copy of an opening packet that never came here while no slot is free.
-        if head.ack == 0 && !admit_flow(state, id, pool, priority, out) {
+        if head.ack == 0 && is_controlled && !admit_flow(state, id, pool, priority, out) {
             return Verdict::Reset(Code::Overloaded);
         }
     }
--- a/crates/forward/src/table.rs
+++ b/crates/forward/src/table.rs
@@ -45,6 +45,8 @@
     pub object: object::Pool,
     /// Its servers, without those that have gone.
     pub servers: Vec<key::Server>,
+    /// Whether some route to it has a priority, so that admission control applies to its flows.
+    pub has_priorities: bool,
 }
 
 /// A route.
@@ -243,6 +245,9 @@
             self.pools[key].object = pool.clone();
         }
         self.routes.clear();
+        for pool in self.pools.values_mut() {
+            pool.has_priorities = false;
+        }
         for route in &routing.routes {
             let SocketAddr::V4(address) = route.address else {
                 continue;
@@ -252,6 +257,9 @@
                 .iter()
                 .map(|share| (self.intern_pool(&share.pool), share.weight))
                 .collect();
+            for &(pool, _) in &shares {
+                self.pools[pool].has_priorities |= route.priority != 0;
+            }
             let total = shares.iter().map(|&(_, weight)| u64::from(weight)).sum();
             let route = Route {
                 shares,
@@ -486,7 +494,11 @@
             check_path: object::DEFAULT_CHECK_PATH.into(),
         };
         let servers = Vec::new();
-        let key = self.pools.push(Pool { object, servers });
+        let key = self.pools.push(Pool {
+            object,
+            servers,
+            has_priorities: false,
+        });
         self.pool_names.insert(name.to_owned(), key);
         key
     }
