--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -34,7 +34,7 @@
 use mean::Mean;
 use meter::Meter;
 
-/// The time without news of the demand at other balancers after which it no longer counts.
+/// The age from which the demand of other balancers no longer counts.
 pub const TOTAL_MAX_AGE: Span = Span::millis(1_500);
 /// The depth of a token bucket: the rate of its priority over this time. A longer burst would fill
 /// the queues of the servers.
--- a/crates/forward/src/contact.rs
+++ b/crates/forward/src/contact.rs
@@ -13,7 +13,7 @@
 /// and a check of 250 ms.
 pub const LOST_CONTACT: Span = Span::millis(400);
 
-/// When balancers of one failure domain were heard.
+/// When frames of the balancers of one failure domain arrived.
 #[derive(Clone, Copy, Debug)]
 struct Contact {
     heard_at: Time,
@@ -21,7 +21,7 @@
     restored_at: Option<Time>,
 }
 
-/// When balancers of each failure domain were heard.
+/// When frames of the balancers of each failure domain arrived.
 #[derive(Clone, Debug, Default)]
 pub struct Contacts {
     domains: BTreeMap<String, Contact>,
@@ -46,7 +46,7 @@
 
     /// Returns whether no frame has arrived from a failure domain for `LOST_CONTACT`. Of a distant
     /// domain few arrive, so that this alone does not mean a loss of contact. False for a domain of
-    /// which no balancer was ever heard.
+    /// which no frame ever arrived.
     pub fn is_silent(&self, now: Time, domain: &str) -> bool {
         let contact = self.domains.get(domain);
         contact.is_some_and(|contact| now.since(contact.heard_at) >= LOST_CONTACT)
--- a/crates/forward/src/demand.rs
+++ b/crates/forward/src/demand.rs
@@ -3,7 +3,7 @@
 //! Rates at this balancer are smoothed over `SMOOTHING`. Of each peer and of each other failure
 //! domain the latest entry counts, until it is `ENTRY_MAX_AGE` old. A large domain sends demand to
 //! some of its balancers at a time (`exchange`), so the sum over the domain is extrapolated from the
-//! peers that were heard to all live ones.
+//! peers that sent some to all live ones.
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -136,18 +136,18 @@
     /// Returns the demand in the own failure domain, the number of balancers whose demand is known,
     /// and the age of the oldest entry.
     pub fn local(&self, now: Time, pool: key::Pool) -> (Offer, u32, Span) {
-        let (mut sum, mut heard, mut age) = (Offer::default(), 0, Span::ZERO);
+        let (mut sum, mut known, mut age) = (Offer::default(), 0, Span::ZERO);
         for entry in self.peers.values().filter(|entry| entry.is_fresh(now)) {
             if let Some(&offer) = entry.pools.get(&pool) {
                 sum = sum + offer;
-                heard += 1;
+                known += 1;
                 age = age.max(now.since(entry.received_at));
             }
         }
-        if heard > 0 && heard < self.live_peers {
-            sum = sum.scaled(self.live_peers, heard);
+        if known > 0 && known < self.live_peers {
+            sum = sum.scaled(self.live_peers, known);
         }
-        (sum + self.own_offer(now, pool), heard + 1, age)
+        (sum + self.own_offer(now, pool), known + 1, age)
     }
 
     /// Returns the demand in all failure domains.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -33,7 +33,7 @@
 //! - `role`: which balancer reads the platform, and which ones distribute its updates.
 //! - `peer`: membership, and the frames that balancers exchange.
 //! - `reach`: whether this balancer's own reads of the platform are answered.
-//! - `contact`: which failure domains' balancers this one hears.
+//! - `contact`: the failure domains from whose balancers frames arrive.
 //! - `load`: load reports of other balancers, and the sums that selection uses.
 //! - `loss`: requests that a backend server left without an answer.
 //! - `report`: exchange of load reports and restart hints.
--- a/crates/forward/src/speed.rs
+++ b/crates/forward/src/speed.rs
@@ -10,7 +10,7 @@
 //! are slow by its own answers, and its own estimate of those that a peer reports as slow, so that
 //! the sum is not biased towards long requests.
 //!
-//! A full server rejects requests at once. Neither side tells the balancer, but a rejection is much
+//! A full server rejects requests at once. The balancer sees neither side of it, but a rejection is much
 //! shorter than an answer. It is no sample of the service time.
 
 use std::collections::BTreeMap;
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -54,7 +54,7 @@
     pub(crate) feeds: Feeds,
     pub(crate) group: Group,
     pub(crate) counts: Counts,
-    /// When balancers of each failure domain were heard.
+    /// When frames of the balancers of each failure domain arrived.
     pub(crate) contacts: Contacts,
     /// Whether this balancer reaches the store.
     pub(crate) reach: Reach,
--- a/crates/forward/src/table.rs
+++ b/crates/forward/src/table.rs
@@ -24,8 +24,11 @@
 use crate::table::row::Status;
 use crate::token::Mark;
 
+pub mod route;
 pub mod row;
 
+pub use route::Route;
+
 /// Bounds how long a server whose entry disappeared without a drain keeps taking new flows. Entries
 /// that lapse during a platform outage are renewed within 2 s of its end.
 pub const MISSING_ENTRY_GRACE: Span = Span::secs(2);
@@ -49,23 +52,6 @@
     pub has_priorities: bool,
 }
 
-/// A route.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Route {
-    /// Pools with their weights.
-    shares: Vec<(key::Pool, u32)>,
-    /// The sum of the weights.
-    total: u64,
-    /// Urgency of its requests. 0 is the most urgent.
-    pub priority: u8,
-    /// Time after which callers no longer wait for a response.
-    pub timeout: Span,
-    /// Time within which callers want a response.
-    pub target: Span,
-    /// Kind of its requests.
-    pub kind: object::Traffic,
-}
-
 /// A failure domain.
 #[derive(Clone, Debug)]
 pub struct Domain {
@@ -260,16 +246,7 @@
             for &(pool, _) in &shares {
                 self.pools[pool].has_priorities |= route.priority != 0;
             }
-            let total = shares.iter().map(|&(_, weight)| u64::from(weight)).sum();
-            let route = Route {
-                shares,
-                total,
-                priority: route.priority,
-                timeout: route.timeout,
-                target: route.target,
-                kind: route.kind,
-            };
-            self.routes.insert(address, route);
+            self.routes.insert(address, Route::new(shares, route));
         }
     }
 
@@ -516,18 +493,3 @@
         key
     }
 }
-
-impl Route {
-    /// Returns the pool of a new flow by the flow's hash, so that every balancer selects the same
-    /// pool.
-    pub fn pool_for(&self, flow: u64) -> Option<key::Pool> {
-        let mut offset = flow.checked_rem(self.total)?;
-        for &(pool, weight) in &self.shares {
-            if offset < u64::from(weight) {
-                return Some(pool);
-            }
-            offset -= u64::from(weight);
-        }
-        unreachable!("the weights of a route add up to its total")
-    }
-}
--- a/crates/limit/src/share.rs
+++ b/crates/limit/src/share.rs
@@ -5,7 +5,7 @@
 //! Requests on open flows of less urgent kinds do not count there, because an urgent request must
 //! not wait for work that its balancer would refuse if it could.
 
-/// The number of priorities that are told apart. A greater priority counts as the last.
+/// The number of distinct priorities. A greater priority counts as the last.
 pub const PRIORITIES: usize = 8;
 /// The part of the capacity that new flows of each kind keep, however much more urgent kinds
 /// offer, in percent. It bounds the loss of urgent kinds, and lets every caller through at last.
--- a/crates/plat/src/http.rs
+++ b/crates/plat/src/http.rs
@@ -19,7 +19,7 @@
 /// Time-out of connecting.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time-out of connecting for a check. Less than the time-out of a check, so that a connection which
-/// is not accepted is told from an answer that is late; many times a round trip to any server.
+/// is not accepted differs from an answer that is late; many times a round trip to any server.
 const CHECK_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time-out from a request to the end of its response. The wait of a long poll is added.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
