forward: the test of servers that reset requests fails without the mechanism

Cause: at low load it passed with lost requests left out of the selection. Change: higher load, three seeds, and a bound of a twentieth of these servers' part of the pool.

--- a/crates/forward/tests/all/loss.rs
+++ b/crates/forward/tests/all/loss.rs
@@ -43,18 +43,22 @@
     assert_eq!(losses.requests(after(201)), 0);
 }
 
-/// Guards against a fifth of the servers failing all requests while their health checks succeed, as
-/// each looks idle and attracts new flows.
+/// Guards against a fifth of the servers failing all requests at high load while their health checks
+/// succeed: each looks idle beside servers that work, and attracts new flows.
 #[test]
 fn servers_that_reset_their_requests_fail_few_callers() {
-    let mut sim = Simulation::new(61, 3, 9, 20).with_rate(120.0);
-    sim.run_for(Span::secs(4));
-    let from = sim.now;
-    (0..4).for_each(|server| sim.servers[server].resets_requests = true);
-    sim.run_for(Span::secs(6));
-    let total = sim.count_requests(from, |_| true);
-    let failed = sim.count_requests(from, |request| {
-        matches!(request.outcome, Outcome::Refused | Outcome::TimedOut)
-    });
-    assert!(failed * 50 < total, "{failed} of {total} requests failed");
+    let (mut total, mut failed) = (0, 0);
+    for seed in 61..64 {
+        let mut sim = Simulation::new(seed, 3, 9, 20).with_rate(260.0);
+        sim.run_for(Span::secs(4));
+        let from = sim.now;
+        (0..4).for_each(|server| sim.servers[server].resets_requests = true);
+        sim.run_for(Span::secs(6));
+        total += sim.count_requests(from, |_| true);
+        failed += sim.count_requests(from, |request| {
+            matches!(request.outcome, Outcome::Refused | Outcome::TimedOut)
+        });
+    }
+    // A twentieth of the part that these servers have of the pool.
+    assert!(failed * 100 < total, "{failed} of {total} requests failed");
 }
