forward: the exchange estimates service times alone

Cause: observe() took a measured service time that its only caller never gave. Measured: the tests of spill and demand and the golden files pass.

--- a/crates/forward/src/exchange.rs
+++ b/crates/forward/src/exchange.rs
@@ -130,14 +130,8 @@
         self.pressure.active()
     }
 
-    /// Computes the occupancy of the own failure domain. `service_time` gives the measured service
-    /// time of a pool.
-    pub fn observe(
-        &mut self,
-        view: &View<'_>,
-        demands: &mut Demands,
-        service_time: impl Fn(key::Pool) -> Option<Span>,
-    ) {
+    /// Computes the occupancy of the own failure domain.
+    pub fn observe(&mut self, view: &View<'_>, demands: &mut Demands) {
         let now = view.now;
         self.observe_at = now + PERIOD;
         self.update_hashes(view.table);
@@ -146,9 +140,7 @@
         demands.set_live_peers(u32::try_from(live.count()).unwrap_or(u32::MAX));
         if let Some(local) = view.table.domain_key(view.domain) {
             let counts = (view.table, view.loads);
-            let rooms = self
-                .pressure
-                .update(now, counts, local, demands, service_time);
+            let rooms = self.pressure.update(now, counts, local, demands);
             demands.set_local(now, local, rooms);
         }
     }
--- a/crates/forward/src/pressure.rs
+++ b/crates/forward/src/pressure.rs
@@ -81,16 +81,15 @@
         pools
     }
 
-    /// Counts the slots of the own failure domain. Returns the occupancy of the active pools.
-    /// `service_time` gives the measured service time of a pool; without one, it is estimated from
-    /// the needed slots and the rate.
+    /// Counts the slots of the own failure domain. Returns the occupancy of the active pools. The
+    /// service time follows from the needed slots and the rate, so that it holds for the mean of all
+    /// kinds of requests.
     pub fn update(
         &mut self,
         now: Time,
         (table, loads): (&Table, &Loads),
         local: key::Domain,
         demands: &Demands,
-        service_time: impl Fn(key::Pool) -> Option<Span>,
     ) -> Vec<(key::Pool, Room)> {
         self.named.retain(|_, at| now.since(*at) <= NAMED_PERIOD);
         let samples = take_samples(now, table, loads, local);
@@ -102,13 +101,10 @@
         let rooms = active.filter_map(|pool| {
             let count = self.pools.get(&pool)?;
             let rate = demands.local(now, pool).0.sum();
-            let measured = service_time(pool).unwrap_or_default();
             let room = Room {
                 slots: count.slots,
                 running: u32::try_from(count.running.div_ceil(MILLI)).unwrap_or(u32::MAX),
-                service_time: estimate_service_time(count.needed, rate)
-                    .max(measured)
-                    .min(SERVICE_TIME_MAX),
+                service_time: estimate_service_time(count.needed, rate).min(SERVICE_TIME_MAX),
                 age: Span::ZERO,
             };
             Some((pool, room))
--- a/crates/forward/src/tick.rs
+++ b/crates/forward/src/tick.rs
@@ -309,7 +309,7 @@
     let (exchange, demands, view) = state.exchange_parts();
     let is_due = exchange.is_due(view.now);
     if is_due {
-        exchange.observe(&view, demands, |_| None);
+        exchange.observe(&view, demands);
     }
     let frames = exchange.frames(&view, demands, report_period);
     report::send_demand(state, frames, out);
