--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -7,7 +7,6 @@
 //! capacity of its failure domain by the number of live balancers there.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::fmt;
 use std::net::SocketAddrV4;
@@ -173,8 +172,8 @@
     pools: SecondaryMap<key::Pool, Pool>,
     /// The smoothed size of an answer on each route.
     usual_answers: BTreeMap<SocketAddrV4, Mean>,
-    /// The hashes of the flows that were refused a short while ago.
-    refused: BTreeSet<u64>,
+    /// When flows were refused, by their hashes.
+    refused: BTreeMap<u64, Time>,
     /// The same with the times, in order.
     refusals: VecDeque<(Time, u64)>,
 }
@@ -299,8 +298,10 @@
 
     /// Returns whether a flow was refused a short while ago, so that this is a copy of its opening
     /// packet.
-    pub fn is_refused(&self, flow: u64) -> bool {
-        self.refused.contains(&flow)
+    pub fn is_refused(&self, now: Time, flow: u64) -> bool {
+        // Entries are only removed by later refusals, and a caller may use the flow's ports again.
+        let refused_at = self.refused.get(&flow);
+        refused_at.is_some_and(|&at| now.since(at) <= REFUSAL_RETENTION)
     }
 
     fn remember_refusal(&mut self, now: Time, flow: u64) {
@@ -311,7 +312,7 @@
                 self.refused.remove(&expired);
             }
         }
-        if self.refused.insert(flow) {
+        if self.refused.insert(flow, now).is_none() {
             self.refusals.push_back((now, flow));
         }
     }
--- a/crates/forward/src/opening.rs
+++ b/crates/forward/src/opening.rs
@@ -45,7 +45,7 @@
         return refuse_flow(state, id, Code::NoService, out);
     };
     let (pool, priority) = (route.pool_for(id.hash()), route.priority);
-    if state.admission.is_refused(id.hash()) {
+    if state.admission.is_refused(state.now, id.hash()) {
         state.counts.add(Kind::Copies);
         return refuse_flow(state, id, Code::Overloaded, out);
     }
--- a/crates/forward/tests/all/admission.rs
+++ b/crates/forward/tests/all/admission.rs
@@ -252,7 +252,8 @@
 }
 
 /// Load: 4 times the capacity. Guards against a refused flow that is admitted by a copy of its
-/// opening packet, and against refusals without a counter or a line in the dump.
+/// opening packet, against a later flow that is taken for such a copy, and against refusals without
+/// a counter or a line in the dump.
 #[test]
 fn a_copy_of_a_refused_opening_packet_is_refused() {
     let mut sim = deployment(12, 20);
@@ -290,6 +291,10 @@
     for line in lines {
         assert!(dump.contains(line), "{line} is not in the dump");
     }
+    // A new flow from the same port a minute later is no copy, although nothing was refused since.
+    head.ack = 0;
+    let at = sim.now + Span::secs(60);
+    assert_ne!(balancer.handle_packet(at, &head, &mut out), refused);
 }
 
 /// Load: 95% of the capacity. Guards against refusals while capacity is not short.
