forward: one module recognizes rejections by the size of answers

speed and admission::capacity each kept a usual size of answers and compared answers with it. Both now use answer::Size and pass their bounds: the divisor, the smoothing and the greatest size. What differs stays with the users: whether the server may have been full, and whether the usual size belongs to a pool or to a route. The smoothed value moves from admission::mean to mean.

--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -19,18 +19,17 @@
 use limit::share::Rate;
 use limit::share::PRIORITIES;
 
+use crate::answer;
 use crate::load::Loads;
 use crate::table::row::Row;
 use crate::table::Table;
 
 mod capacity;
-mod mean;
 mod meter;
 
 pub use capacity::Answer;
 use capacity::Estimate;
 use capacity::Path;
-use mean::Mean;
 use meter::Meter;
 
 /// The age from which the demand of other balancers no longer counts.
@@ -171,7 +170,7 @@
     balancers: (Time, u32),
     pools: SecondaryMap<key::Pool, Pool>,
     /// The smoothed size of an answer on each route.
-    usual_answers: BTreeMap<SocketAddrV4, Mean>,
+    usual_answers: BTreeMap<SocketAddrV4, answer::Size>,
     /// When flows were refused, by their hashes.
     refused: BTreeMap<u64, Time>,
     /// The same with the times, in order.
--- a/crates/forward/src/admission/capacity.rs
+++ b/crates/forward/src/admission/capacity.rs
@@ -3,8 +3,9 @@
 use base::prelude::*;
 use limit::share::Rate;
 
-use super::mean::Mean;
 use super::meter::Window;
+use crate::answer;
+use crate::mean::Mean;
 
 /// The weight of a new answer in the smoothed times: one part in this number. Some kinds of
 /// requests take 7 times as long in 3% of the cases, so that fewer answers give an uneven mean.
@@ -16,9 +17,12 @@
 /// The same for the part of the time that requests are at the server, which rises within a service
 /// time when they begin to wait there.
 const PRESENCE_SMOOTHING: u64 = 32;
-/// The factor below the usual size of an answer from which on an answer is a rejection. An answer
-/// 503 has some hundred bytes.
-const REJECTION_FRACTION: u64 = 4;
+/// The sizes of rejections. An answer 503 has some hundred bytes.
+const REJECTION: answer::Bounds = answer::Bounds {
+    divisor: 4,
+    smoothing: SMOOTHING,
+    size_max: u32::MAX,
+};
 /// The shortest time at a server that is recorded.
 const SERVICE_MIN: Span = Span(100);
 /// The longest handshake that is recorded. A longer one contains a retransmission.
@@ -192,21 +196,24 @@
 
 impl Estimate {
     /// Records an answer. `usual` is the smoothed size of the answers on its route, and is updated.
-    pub(super) fn record(&mut self, now: Time, path: &mut Path, usual: &mut Mean, answer: &Answer) {
+    pub(super) fn record(
+        &mut self,
+        now: Time,
+        path: &mut Path,
+        usual: &mut answer::Size,
+        answer: &Answer,
+    ) {
         self.correct(now);
         self.answers += 1;
         path.answered_at = now;
-        let size = u64::from(answer.bytes);
-        let is_small = usual
-            .get()
-            .is_some_and(|usual| size < usual / REJECTION_FRACTION);
+        let is_small = usual.is_short(answer.bytes, &REJECTION);
         let is_full = answer.running >= answer.slots || path.waiting > WAITING_ABOVE;
         if is_small && is_full {
             self.failures += 1;
             path.record_wait(true);
             return;
         }
-        usual.record(size, SMOOTHING);
+        usual.record(answer.bytes, &REJECTION);
         if is_small {
             // It may be a rejection by a server that is full of requests that are not known here.
             return;
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -18,9 +18,11 @@
 //! - `admission`: refusal of new flows by urgency while capacity is short.
 //! - `select`: load balancing: the backend server of a new flow.
 //! - `speed`: service times of backend servers, from their answers.
+//! - `answer`: recognition of rejected requests by the size of their answers.
 //! - `health`: passive failure detection of backend servers, confirmed by health checks.
 //! - `check`: scheduling and results of those health checks.
 //! - `cold`: slow start: the rate at which a cold backend server receives flows.
+//! - `mean`: exponentially smoothed values.
 //! - `flow`: the bounded table of flows that this balancer opened.
 //! - `token`: route tokens.
 //! - `packet`: packet heads and verdicts.
@@ -55,6 +57,7 @@
 //! - `prelude`: the types that a driver imports.
 
 pub mod admission;
+pub mod answer;
 pub mod check;
 pub mod codec;
 pub mod cold;
@@ -88,6 +91,7 @@
 
 mod dump;
 mod established;
+mod mean;
 mod opening;
 mod peer;
 mod report;
--- a/crates/forward/src/speed.rs
+++ b/crates/forward/src/speed.rs
@@ -22,6 +22,7 @@
 use cranelift_entity::SecondaryMap;
 use wire::frame::Speed;
 
+use crate::answer;
 use crate::flow;
 use crate::load;
 use crate::table::Table;
@@ -85,10 +86,12 @@
 const ABOVE_DIVISOR: i64 = 2;
 /// The least weight of a server's own answers that is reported.
 const REPORT_WEIGHT_MIN: i64 = ANSWER / 2;
-/// The number of answers over which the usual size is smoothed.
-const SIZE_ANSWERS: i64 = 16;
-/// Bounds the size of an answer. The first acknowledgement covers two packets.
-const SIZE_MAX: u32 = 4_096;
+/// The sizes of rejections. The first acknowledgement covers two packets, which bounds the size.
+const REJECTION: answer::Bounds = answer::Bounds {
+    divisor: 2,
+    smoothing: 16,
+    size_max: 4_096,
+};
 
 /// What is known of a server.
 #[derive(Clone, Copy, Debug, Default)]
@@ -115,8 +118,8 @@
     log: i64,
     /// The weight of its answers; 0 before the first one.
     weight: i64,
-    /// The usual size of an answer in bytes, in 1/`SIZE_ANSWERS`; 0 before the first one.
-    size: i64,
+    /// The usual size of an answer.
+    usual: answer::Size,
 }
 
 #[derive(Clone, Debug)]
@@ -293,18 +296,12 @@
     /// Returns whether an answer of a size is a rejection: the server was estimated to have no free
     /// slot, and the answer is shorter than half of the usual one.
     pub fn is_rejection(&self, pool: key::Pool, size: u32, had_free_slot: bool) -> bool {
-        let usual = self.pools[pool].size / SIZE_ANSWERS;
-        !had_free_slot && i64::from(size.min(SIZE_MAX)) * 2 < usual
+        !had_free_slot && self.pools[pool].usual.is_short(size, &REJECTION)
     }
 
     /// Records the size of an answer that is not a rejection.
     pub fn record_size(&mut self, pool: key::Pool, size: u32) {
-        let size = i64::from(size.min(SIZE_MAX));
-        let usual = &mut self.pools[pool].size;
-        match *usual {
-            0 => *usual = size * SIZE_ANSWERS,
-            _ => *usual += size - *usual / SIZE_ANSWERS,
-        }
+        self.pools[pool].usual.record(size, &REJECTION);
     }
 
     /// Records a rejection: the server's queue is full, and counts as full for the time of the work
