forward: one module sums the requests under way at a server

load, admission, pressure and the observation of answers each added this balancer's requests and those of its peers, with different bounds. They now call running::requests with the bound as an argument: what the server can hold for selection, two requests per slot for the needed slots, none for admission.

--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -21,6 +21,7 @@
 
 use crate::answer;
 use crate::load::Loads;
+use crate::running;
 use crate::table::row::Row;
 use crate::table::Table;
 
@@ -212,7 +213,7 @@
     }
 
     fn running(&self, server: key::Server, row: &Row) -> u32 {
-        row.requests + self.loads.requests(server)
+        running::requests(row, self.loads, server, u32::MAX)
     }
 
     /// Returns the number of slots of the own failure domain; if it has none, of all domains.
--- a/crates/forward/src/established.rs
+++ b/crates/forward/src/established.rs
@@ -17,6 +17,7 @@
 use crate::packet::Head;
 use crate::packet::Verdict;
 use crate::packet::NETWORK_DUPLICATE_WINDOW;
+use crate::running;
 use crate::state::Forwarder;
 use crate::token::Token;
 
@@ -145,7 +146,7 @@
     };
     let slots = row.slots;
     // The reports of peers may have shown only later that the slots were taken.
-    let others = load::requests(row, &state.loads, server);
+    let others = running::requests(row, &state.loads, server, load::capacity(slots));
     let had_free_slot = flow.ahead.max(others) < slots;
     if state.speeds.is_rejection(pool, size, had_free_slot) {
         state.counts.add(Kind::Rejected);
@@ -213,7 +214,8 @@
 /// Sets how long the request of a flow counts as under way, and what is ahead of it.
 fn time_request(state: &mut Forwarder, id: Id, server: key::Server) {
     let row = state.table.server(server);
-    let ahead = load::requests(row, &state.loads, server).saturating_sub(1);
+    let running = running::requests(row, &state.loads, server, load::capacity(row.slots));
+    let ahead = running.saturating_sub(1);
     let timeout = match row.pool {
         Some(pool) => state.speeds.answer_timeout(state.now, server, pool),
         None => REQUEST_TIMEOUT,
@@ -253,6 +255,7 @@
     let took = now.since(flow.data_sent_at);
     // The first request counts as under way from the opening packet on.
     let is_first = flow.data_sent_at.since(flow.opening_sent_at) < FIRST_REQUEST_DELAY;
+    let running = running::requests(row, &state.loads, flow.server, u32::MAX);
     let answer = admission::Answer {
         took,
         counted: match is_first {
@@ -260,7 +263,7 @@
             false => took,
         },
         bytes,
-        running: row.requests + u32::from(!was_busy) + state.loads.requests(flow.server),
+        running: running + u32::from(!was_busy),
         slots: row.slots,
         target: route.target,
     };
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -37,6 +37,7 @@
 //! - `reach`: whether this balancer's own reads of the platform are answered.
 //! - `contact`: the failure domains from whose balancers frames arrive.
 //! - `load`: load reports of other balancers, and the sums that selection uses.
+//! - `running`: the requests under way at a server, here and at peers.
 //! - `loss`: requests that a backend server left without an answer.
 //! - `report`: exchange of load reports and restart hints.
 //! - `demand`: demand for each pool, here, at peers and in other failure domains.
@@ -80,6 +81,7 @@
 pub mod reach;
 pub mod recipient;
 pub mod role;
+pub mod running;
 pub mod select;
 pub mod setting;
 pub mod speed;
--- a/crates/forward/src/load.rs
+++ b/crates/forward/src/load.rs
@@ -120,18 +120,12 @@
     }
 }
 
-/// Returns the number of requests that a server can hold: those that it runs and its queue.
+/// Returns the number of requests that a server can hold: those that it runs and its queue. It
+/// rejects the others.
 pub fn capacity(slots: u32) -> u32 {
     slots.max(1).saturating_mul(1 + QUEUE_PER_SLOT)
 }
 
-/// Returns the estimated number of requests under way at a server: this balancer's own and those in
-/// peers' reports. It is no more than the server can hold, since it rejects the others.
-pub fn requests(row: &Row, loads: &Loads, server: key::Server) -> u32 {
-    let reported = row.requests.saturating_add(loads.requests(server));
-    reported.min(capacity(row.slots))
-}
-
 /// Returns the period of the load reports of a balancer with this many peers in its failure domain.
 pub fn report_period(peers: u64) -> Span {
     REPORT_PERIOD_MIN.max(Span(REPORT_PERIOD_PER_PEER.0 * peers))
--- a/crates/forward/src/pressure.rs
+++ b/crates/forward/src/pressure.rs
@@ -12,6 +12,7 @@
 use crate::demand::Rate;
 use crate::demand::Room;
 use crate::load::Loads;
+use crate::running;
 use crate::table::Table;
 
 /// The period in which occupancy is computed. Callers retransmit after 200 ms, so that one with a
@@ -139,9 +140,9 @@
         let Some(pool) = row.pool else {
             continue;
         };
-        let requests = row.requests + loads.requests(key);
+        let requests = running::requests(row, loads, key, row.slots * NEEDED_PER_SLOT_MAX);
         let sample = samples.entry(pool).or_default();
-        sample.needed += requests.min(row.slots * NEEDED_PER_SLOT_MAX);
+        sample.needed += requests;
         let is_usable = row.is_accepting(now) && !row.health.is_confirmed();
         if is_in && row.domain == local && is_usable && !table.is_cold(key, now) {
             sample.slots += row.slots;
--- a/crates/forward/src/select.rs
+++ b/crates/forward/src/select.rs
@@ -26,6 +26,7 @@
 use crate::flow::Basis;
 use crate::load;
 use crate::load::Loads;
+use crate::running;
 use crate::speed;
 use crate::speed::Speeds;
 use crate::table::Table;
@@ -242,7 +243,8 @@
     fn requests(&self, server: key::Server) -> u32 {
         let row = self.table.server(server);
         let implied = self.speeds.implied_requests(self.now, server, row.slots);
-        load::requests(row, self.loads, server).max(implied)
+        let known = running::requests(row, self.loads, server, load::capacity(row.slots));
+        known.max(implied)
     }
 
     fn cost(&self, server: key::Server) -> u64 {
