forward: one module for meters of rates

demand and admission each had a meter with records by priority. Both now use rate::Meter, and give the estimator and its time as arguments; the window that admission::capacity uses for answers in time comes from there too.

The two estimators stay. demand smooths exponentially, since peers receive the rate some hundred milliseconds later and an abrupt end of a window would reach them as a jump; admission counts a window of 200 ms, which forgets a burst at once. A trial with the window in demand too changed decisions: admission::demand_below_the_capacity_is_not_refused failed, 79 of 80 tests named demand, spill, overload, admission, load, uneven and golden passed.

With this change cargo test -p forward: 167 and 1 passed, golden files unchanged.

--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -21,17 +21,17 @@
 
 use crate::answer;
 use crate::load::Loads;
+use crate::rate::Meter;
+use crate::rate::Window;
 use crate::running;
 use crate::table::row::Row;
 use crate::table::Table;
 
 mod capacity;
-mod meter;
 
 pub use capacity::Answer;
 use capacity::Estimate;
 use capacity::Path;
-use meter::Meter;
 
 /// The age from which the demand of other balancers no longer counts.
 pub const TOTAL_MAX_AGE: Span = Span::millis(1_500);
@@ -43,6 +43,10 @@
 const BUCKET_MIN: u64 = 2;
 /// The tokens of one flow: a rate of 10 tenths per second over one second.
 const TOKENS_PER_FLOW: u64 = 10 * Span::secs(1).0;
+/// Length of one step of the window of demand, in microseconds. The whole window of 200 ms holds
+/// several requests of a kind at most balancers, and is as short as the first retransmission time
+/// of callers.
+const DEMAND_STEP: u64 = 25_000;
 /// The period in which the load of a pool is assessed.
 const LOAD_PERIOD: Span = Span::millis(25);
 /// The part of the slots, in percent, of which more are taken in a loaded pool. Below it few
@@ -151,7 +155,10 @@
 
 #[derive(Clone, Debug, Default)]
 struct Pool {
-    meter: Meter,
+    /// The rates of new flows here.
+    offered: Meter<Window<DEMAND_STEP>>,
+    /// The rates of requests on open flows here.
+    committed: Meter<Window<DEMAND_STEP>>,
     estimate: Estimate,
     /// When the load was last assessed.
     assessed_at: Time,
@@ -245,7 +252,7 @@
         let has_free_slot =
             !self.is_claimed(now, supply.pool, priority) && self.has_free_slot(supply);
         let pool = &mut self.pools[supply.pool];
-        pool.meter.record_opening(now, priority);
+        pool.offered.record(now, priority);
         let bucket = &mut pool.buckets[share::index(priority)];
         if has_free_slot {
             bucket.take();
@@ -253,7 +260,10 @@
         }
         let total = total.filter(|total| total.age <= TOTAL_MAX_AGE);
         let slots = supply.slots();
-        let own = pool.meter.demand(now);
+        let own = Demand {
+            offered: pool.offered.rates(now),
+            committed: pool.committed.rates(now),
+        };
         let demand = total.map_or(own, |total| total.demand(&own));
         let least = pool.estimate.least(now);
         let capacity = match pool.estimate.capacity(now, slots) {
@@ -401,7 +411,7 @@
 
     /// Records a request on an open flow.
     pub fn record_request(&mut self, now: Time, pool: key::Pool, priority: u8) {
-        self.pools[pool].meter.record_request(now, priority);
+        self.pools[pool].committed.record(now, priority);
     }
 
     /// Records the time from an opening packet to the caller's next packet.
--- a/crates/forward/src/admission/capacity.rs
+++ b/crates/forward/src/admission/capacity.rs
@@ -3,9 +3,10 @@
 use base::prelude::*;
 use limit::share::Rate;
 
-use super::meter::Window;
 use crate::answer;
 use crate::mean::Mean;
+use crate::rate::Estimator;
+use crate::rate::Window;
 
 /// The weight of a new answer in the smoothed times: one part in this number. Some kinds of
 /// requests take 7 times as long in 3% of the cases, so that fewer answers give an uneven mean.
--- a/crates/forward/src/demand.rs
+++ b/crates/forward/src/demand.rs
@@ -13,9 +13,14 @@
 use base::prelude::*;
 use conf::key;
 use cranelift_entity::SecondaryMap;
+use limit::share;
+
+use crate::rate::Estimator;
+use crate::rate::Meter;
+use crate::rate::Smoothed;
 
 /// The number of priorities. A greater one counts as the last.
-pub const PRIORITIES: usize = 8;
+pub const PRIORITIES: usize = share::PRIORITIES;
 /// The time constant of the rates at this balancer: shorter than the shortest target of callers
 /// (250 ms), and long enough for the 20 requests per second that one balancer sees of a service.
 pub const SMOOTHING: Span = Span::millis(200);
@@ -95,22 +100,14 @@
 /// The rates of one pool at this balancer.
 #[derive(Clone, Copy, Debug, Default)]
 struct Meters {
-    offered: [Meter; PRIORITIES],
-    committed: Meter,
-}
-
-/// An exponentially smoothed rate.
-#[derive(Clone, Copy, Debug, Default)]
-struct Meter {
-    per_second: f64,
-    updated_at: Time,
+    offered: Meter<Smoothed<{ SMOOTHING.0 }>>,
+    committed: Smoothed<{ SMOOTHING.0 }>,
 }
 
 impl Demands {
     /// Counts a first opening packet.
     pub fn record_opening(&mut self, now: Time, pool: key::Pool, priority: u8) {
-        let index = usize::from(priority).min(PRIORITIES - 1);
-        self.own[pool].offered[index].record(now);
+        self.own[pool].offered.record(now, priority);
     }
 
     /// Counts a request on a flow that is open already.
@@ -120,16 +117,15 @@
 
     /// Returns the rate of first opening packets of a priority at this balancer.
     pub fn own(&self, now: Time, pool: key::Pool, priority: u8) -> Rate {
-        let index = usize::from(priority).min(PRIORITIES - 1);
-        self.own[pool].offered[index].rate(now)
+        Rate(self.own[pool].offered.rate(now, priority))
     }
 
     /// Returns the demand at this balancer.
     pub fn own_offer(&self, now: Time, pool: key::Pool) -> Offer {
         let meters = &self.own[pool];
         Offer {
-            offered: meters.offered.map(|meter| meter.rate(now)),
-            committed: meters.committed.rate(now),
+            offered: meters.offered.rates(now).map(Rate),
+            committed: Rate(meters.committed.rate(now)),
         }
     }
 
@@ -259,23 +255,6 @@
     }
 }
 
-impl Meter {
-    fn record(&mut self, now: Time) {
-        self.per_second = self.value(now) + 1e6 / SMOOTHING.0 as f64;
-        self.updated_at = now;
-    }
-
-    fn value(&self, now: Time) -> f64 {
-        let elapsed = now.since(self.updated_at).0 as f64 / SMOOTHING.0 as f64;
-        self.per_second * (-elapsed).exp()
-    }
-
-    fn rate(&self, now: Time) -> Rate {
-        // The conversion saturates.
-        Rate((self.value(now) * 10.0).round() as u32)
-    }
-}
-
 impl Offer {
     /// Returns the sum of all rates.
     pub fn sum(&self) -> Rate {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -40,6 +40,7 @@
 //! - `running`: the requests under way at a server, here and at peers.
 //! - `loss`: requests that a backend server left without an answer.
 //! - `report`: exchange of load reports and restart hints.
+//! - `rate`: estimators of the rates of events.
 //! - `demand`: demand for each pool, here, at peers and in other failure domains.
 //! - `pressure`: the taken slots of the own failure domain.
 //! - `exchange`: the frames about demand and occupancy.
@@ -78,6 +79,7 @@
 pub mod patch;
 pub mod prelude;
 pub mod pressure;
+pub mod rate;
 pub mod reach;
 pub mod recipient;
 pub mod role;
