forward, shell: admin page /load about pools that were short

Operators had only log lines of single flows and counters of single balancers. The page gives, for each pool that was short or refused flows in the last 60 s, slots, requests under way, service time, demand and capacity of the latest decision, flows offered, admitted and refused by priority, spill shares and the ages of the inputs, and the admin addresses of the live balancers.

shortage counts flows by second of pools that were short, of at most 256 pools with 2 KB each; overview builds the page from the reducer's state. A relay answers 404. The field for the host's utilization is not filled yet.

A pool without priorities is short when all slots in all known domains are taken.

--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -111,6 +111,8 @@
     pub admitted: Rate,
     /// The rate of requests on open flows.
     pub committed: Rate,
+    /// The rate of new flows of all priorities and of requests on open flows.
+    pub demand: Rate,
     /// The capacity that was divided, in tenths of a request per second.
     pub capacity: Rate,
     /// The age of the demand at others; `None` if only this balancer's is known.
@@ -284,6 +286,7 @@
             offered,
             admitted,
             committed: demand.committed.iter().sum(),
+            demand: demand.sum(),
             capacity,
             age: total.map(|total| total.age),
             loads_age: supply.loads.oldest_report_age(now),
@@ -443,6 +446,11 @@
         pool.estimate.record(now, path, usual, answer);
     }
 
+    /// Returns the smoothed time that a request occupies a slot; `None` before the first answer.
+    pub fn service_time(&self, pool: key::Pool) -> Option<Span> {
+        self.pools[pool].estimate.service_time()
+    }
+
     /// Returns the lines of the dump: for each pool the estimate, and the latest decision of each
     /// priority.
     pub(crate) fn lines<'a>(
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -55,6 +55,8 @@
 //! - `note`: log records of decisions.
 //! - `count`: counters.
 //! - `dump`: the state as text.
+//! - `shortage`: the pools that were short of capacity in the last minute.
+//! - `overview`: the admin page about them.
 //! - `setting`: settings and their defaults.
 //! - `prelude`: the types that a driver imports.
 
@@ -75,6 +77,7 @@
 pub mod load;
 pub mod loss;
 pub mod note;
+pub mod overview;
 pub mod packet;
 pub mod patch;
 pub mod prelude;
@@ -86,6 +89,7 @@
 pub mod running;
 pub mod select;
 pub mod setting;
+pub mod shortage;
 pub mod speed;
 pub mod spill;
 pub mod state;
--- a/crates/forward/src/opening.rs
+++ b/crates/forward/src/opening.rs
@@ -52,6 +52,7 @@
     if let Some(pool) = pool {
         if head.ack == 0 {
             state.demands.record_opening(state.now, pool, priority);
+            state.shortages.record_opening(state.now, pool, priority);
         }
         let is_controlled = state.table.pool(pool).has_priorities;
         // Selection defers a copy of an opening packet that never came here while no slot is free.
@@ -73,6 +74,9 @@
             defer_packet(state, id, head.ack, Code::FlowHeld, out)
         }
         Selection::ColdLimited | Selection::Unavailable => {
+            if let Some(pool) = pool {
+                state.shortages.record_refusal(state.now, pool, priority);
+            }
             refuse_flow(state, id, Code::NoServer, out)
         }
     }
@@ -110,6 +114,10 @@
         Decision::Admitted(basis) => (basis, true),
         Decision::Refused(basis) => (basis, false),
     };
+    if !is_admitted {
+        state.shortages.record_refusal(state.now, pool, priority);
+    }
+    state.shortages.record_decision(state.now, pool, basis);
     state.counts.add(match is_admitted {
         true => Kind::AdmittedShort,
         false => Kind::refused(priority),
--- a/crates/forward/src/spill.rs
+++ b/crates/forward/src/spill.rs
@@ -60,6 +60,11 @@
 pub struct Spills(BTreeMap<key::Pool, Shares>);
 
 impl Occupancy {
+    /// Returns whether all slots are taken.
+    pub fn is_full(&self) -> bool {
+        self.room.running >= self.room.slots
+    }
+
     /// Returns the slots that the demand of the domain's callers needs, in thousandths.
     fn needed(&self) -> u64 {
         // Tenths of a request per second times microseconds are 1e-7 slots.
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -25,6 +25,7 @@
 use crate::load::Loads;
 use crate::note::Note;
 use crate::opening;
+use crate::overview;
 use crate::packet::Head;
 use crate::packet::Verdict;
 use crate::peer;
@@ -32,6 +33,7 @@
 use crate::report;
 use crate::role::Role;
 use crate::setting::Setting;
+use crate::shortage::Shortages;
 use crate::speed::Speeds;
 use crate::spill::Spills;
 use crate::table;
@@ -75,6 +77,8 @@
     /// When the last packet of a caller arrived.
     pub(crate) last_packet_at: Time,
     pub(crate) timers: tick::Timers,
+    /// The pools that were short of capacity in the last minute.
+    pub(crate) shortages: Shortages,
 }
 
 impl Forwarder {
@@ -107,6 +111,7 @@
             repeat_until: Time::default(),
             last_packet_at: now,
             timers: tick::Timers::new(now),
+            shortages: Shortages::default(),
         }
     }
 
@@ -245,6 +250,22 @@
         &self.spills
     }
 
+    /// Returns the admin page about shortages.
+    pub fn overview(&self) -> overview::Page {
+        overview::page(&overview::View {
+            now: self.now,
+            domain: &self.setting.domain,
+            table: &self.table,
+            group: &self.group,
+            loads: &self.loads,
+            speeds: &self.speeds,
+            admission: &self.admission,
+            demands: &self.demands,
+            spills: &self.spills,
+            shortages: &self.shortages,
+        })
+    }
+
     /// Returns the exchange of demand, with the state that it reads and the demand that it changes.
     pub(crate) fn exchange_parts(&mut self) -> (&mut Exchange, &mut Demands, View<'_>) {
         let view = View {
--- a/crates/forward/src/tick.rs
+++ b/crates/forward/src/tick.rs
@@ -89,6 +89,7 @@
         observe_store(state);
         state.loads.expire_reports(now);
         expire_demand(state);
+        state.shortages.expire(now);
         check::settle(state, out);
         check::suspect_domains(state, out);
     }
@@ -348,6 +349,9 @@
                 .max()
                 .unwrap_or_default(),
         };
+        if own.iter().chain(&others).all(spill::Occupancy::is_full) && own.is_some() {
+            state.shortages.record_full(state.now, pool);
+        }
         if state.spills.set(pool, shares.unwrap_or_default()) {
             out.push(Effect::Note(note));
         }
--- a/crates/forward/tests/all/admission.rs
+++ b/crates/forward/tests/all/admission.rs
@@ -54,7 +54,7 @@
 }
 
 /// Returns a deployment with an urgent route and one of priority 2, at 60% of the capacity.
-fn deployment(seed: u64, urgent_percent: u32) -> Simulation {
+pub(crate) fn deployment(seed: u64, urgent_percent: u32) -> Simulation {
     let mut sim = Simulation::new(seed, DOMAINS, BALANCERS, SERVERS);
     sim.write_routing_with(|routing| {
         let share = object::Share {
@@ -75,7 +75,7 @@
 }
 
 /// Returns the rate per domain of a demand relative to the capacity.
-fn rate(demand: f64) -> f64 {
+pub(crate) fn rate(demand: f64) -> f64 {
     demand * CAPACITY / DOMAINS as f64
 }
 
--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod load;
 mod loss;
 mod overload;
+mod overview;
 mod patch;
 mod promise;
 mod replication;
--- a/crates/shell/src/admin.rs
+++ b/crates/shell/src/admin.rs
@@ -1,4 +1,4 @@
-//! The admin pages over HTTP: state dump, health, readiness and metrics.
+//! The admin pages over HTTP: state dump, health, readiness, metrics and shortages.
 //!
 //! The pages send queries to the event loop, which owns the state.
 
@@ -14,6 +14,7 @@
 use rocket::fairing::AdHoc;
 use rocket::get;
 use rocket::http::Status;
+use rocket::response::content::RawJson;
 use rocket::routes;
 use rocket::Request;
 use rocket::Shutdown;
@@ -36,6 +37,8 @@
     Ready(oneshot::Sender<bool>),
     /// Counters and gauges.
     Counts(oneshot::Sender<Vec<Count>>),
+    /// The page about shortages as JSON; `None` if the balancer has none.
+    Load(oneshot::Sender<Option<String>>),
 }
 
 /// The HTTP server of the admin pages.
@@ -89,6 +92,13 @@
     text.map_err(|_| Status::InternalServerError)
 }
 
+/// Shows the pools that were short of capacity in the last minute.
+#[get("/load")]
+async fn load(event_loop: &State<LoopHandle>) -> Result<RawJson<String>, Status> {
+    let page = event_loop.query(Query::Load).await?;
+    page.map(RawJson).ok_or(Status::NotFound)
+}
+
 #[catch(default)]
 fn error_page(status: Status, _request: &Request<'_>) -> String {
     format!("{status}\n")
@@ -119,7 +129,7 @@
         });
         let rocket = rocket::custom(config(address))
             .manage(LoopHandle { queries, metric })
-            .mount("/", routes![dump, health, ready, metrics])
+            .mount("/", routes![dump, health, ready, metrics, load])
             .register("/", catchers![error_page])
             .attach(liftoff)
             .ignite()
--- a/crates/shell/src/packets/run.rs
+++ b/crates/shell/src/packets/run.rs
@@ -424,6 +424,7 @@
             Query::Dump(to) => drop(to.send(self.reducer.to_string())),
             Query::Ready(to) => drop(to.send(self.reducer.is_ready())),
             Query::Counts(to) => drop(to.send(reducer_counts(&self.reducer))),
+            Query::Load(to) => drop(to.send(self.reducer.overview().to_json().ok())),
         }
     }
 
--- a/crates/shell/src/turn.rs
+++ b/crates/shell/src/turn.rs
@@ -225,6 +225,7 @@
             Query::Dump(to) => drop(to.send(self.reducer.dump())),
             Query::Ready(to) => drop(to.send(self.reducer.is_ready())),
             Query::Counts(to) => drop(to.send(self.counts())),
+            Query::Load(to) => drop(to.send(None)),
         }
     }
 
--- a/crates/shell/tests/run.rs
+++ b/crates/shell/tests/run.rs
@@ -318,6 +318,8 @@
         .await
         .contains("wasabi_node_notes 1\n"));
     assert!(bench.get_page("/other").await.starts_with("HTTP/1.1 404"));
+    // A relay has no page about shortages. Without an answer, `wasabictl load` would call it silent.
+    assert!(bench.get_page("/load").await.starts_with("HTTP/1.1 404"));
     bench.stop().await;
 }
 
