wasabictl: load shows short services and the priorities that pay

Flows add up over balancers; demand and capacity count once for each failure domain, from the latest decision, or add up where balancers know only their own part. Balancers without an answer are listed with the reason.

--- a/crates/wasabictl/src/args.rs
+++ b/crates/wasabictl/src/args.rs
@@ -141,6 +141,23 @@
         #[bpaf(positional("BALANCER"))]
         balancer: String,
     },
+    /// Shows which services are short of capacity, and which priorities pay for it
+    #[bpaf(command)]
+    Load {
+        /// Admin address of any balancer, such as 127.0.0.1:9100; no platform is needed then
+        #[bpaf(
+            long,
+            argument("HOST:PORT"),
+            guard(is_host_port, "must be HOST:PORT"),
+            optional
+        )]
+        admin: Option<String>,
+        #[bpaf(external)]
+        global_options: GlobalOptions,
+        /// Names of the balancers to ask [default: all live ones]
+        #[bpaf(positional("BALANCER"))]
+        balancers: Vec<String>,
+    },
     /// Validates a file like apply, without writing; with a platform URL, also against its objects
     #[bpaf(command)]
     Check {
@@ -204,6 +221,7 @@
             | Command::Status { global_options }
             | Command::Wait { global_options, .. }
             | Command::Dump { global_options, .. }
+            | Command::Load { global_options, .. }
             | Command::Check { global_options, .. }
             | Command::Explain { global_options, .. } => global_options,
         }
@@ -232,6 +250,12 @@
     *timeout_s <= TIMEOUT_MAX_S
 }
 
+fn is_host_port(text: &String) -> bool {
+    let is_host = |host: &str| !host.is_empty() && !host.contains(['/', '@', '?', '#']);
+    let parts = text.rsplit_once(':');
+    parts.is_some_and(|(host, port)| is_host(host) && port.parse::<u16>().is_ok())
+}
+
 fn exit_codes_footer() -> String {
     let mut text = String::from("Exit codes:");
     for exit in Exit::iter() {
--- a/crates/wasabictl/src/command.rs
+++ b/crates/wasabictl/src/command.rs
@@ -16,6 +16,7 @@
 mod explain;
 mod get;
 mod label;
+mod load;
 mod status;
 mod wait;
 
@@ -43,6 +44,9 @@
             ..
         } => wait::run(&client()?, revision, Span::secs(timeout_s)).await,
         Command::Dump { balancer, .. } => dump::run(&client()?, &balancer).await,
+        Command::Load {
+            admin, balancers, ..
+        } => load::run(client, admin.as_deref(), &balancers).await,
         Command::Check { file, .. } => {
             let client = args.platform_url().map(|_| client()).transpose()?;
             check::run(client.as_ref(), &file).await
--- a/crates/wasabictl/tests/all/main.rs
+++ b/crates/wasabictl/tests/all/main.rs
@@ -3,5 +3,6 @@
 mod codes;
 mod harness;
 mod input;
+mod load;
 mod race;
 mod session;
