--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -18,9 +18,11 @@
 //! - `admission`: refusal of new flows by urgency while capacity is short.
 //! - `select`: load balancing: the backend server of a new flow.
 //! - `speed`: service times of backend servers, from their answers.
+//! - `answer`: recognition of rejected requests by the size of their answers.
 //! - `health`: passive failure detection of backend servers, confirmed by health checks.
 //! - `check`: scheduling and results of those health checks.
 //! - `cold`: slow start: the rate at which a cold backend server receives flows.
+//! - `mean`: exponentially smoothed values.
 //! - `flow`: the bounded table of flows that this balancer opened.
 //! - `token`: route tokens.
 //! - `packet`: packet heads and verdicts.
@@ -35,8 +37,10 @@
 //! - `reach`: whether this balancer's own reads of the platform are answered.
 //! - `contact`: the failure domains from whose balancers frames arrive.
 //! - `load`: load reports of other balancers, and the sums that selection uses.
+//! - `running`: the requests under way at a server, here and at peers.
 //! - `loss`: requests that a backend server left without an answer.
 //! - `report`: exchange of load reports and restart hints.
+//! - `rate`: estimators of the rates of events.
 //! - `demand`: demand for each pool, here, at peers and in other failure domains.
 //! - `pressure`: the taken slots of the own failure domain.
 //! - `exchange`: the frames about demand and occupancy.
@@ -51,10 +55,13 @@
 //! - `note`: log records of decisions.
 //! - `count`: counters.
 //! - `dump`: the state as text.
+//! - `shortage`: the pools that were short of capacity in the last minute.
+//! - `overview`: the admin page about them.
 //! - `setting`: settings and their defaults.
 //! - `prelude`: the types that a driver imports.
 
 pub mod admission;
+pub mod answer;
 pub mod check;
 pub mod codec;
 pub mod cold;
@@ -70,15 +77,19 @@
 pub mod load;
 pub mod loss;
 pub mod note;
+pub mod overview;
 pub mod packet;
 pub mod patch;
 pub mod prelude;
 pub mod pressure;
+pub mod rate;
 pub mod reach;
 pub mod recipient;
 pub mod role;
+pub mod running;
 pub mod select;
 pub mod setting;
+pub mod shortage;
 pub mod speed;
 pub mod spill;
 pub mod state;
@@ -88,6 +99,7 @@
 
 mod dump;
 mod established;
+mod mean;
 mod opening;
 mod peer;
 mod report;
