soak: slow servers, and servers at their connection limit

Cause: the soak test had none of the loads of docs/HOSTS.md, so nothing showed what balancers do with open flows of servers that are slow or at their connection limit.

So far a seed drew 5 to 12 faults for each 10 s, each with a kind (28, equally likely), a start, a duration of 0.3 to 5 s and a balancer, failure domain or server address. That draw is unchanged. Loads come from a second random stream (`plan::draw_loads`): 2 to 4 for a seed, which start up to 8 s after the last possible fault. `--faults-only` and `Config::has_loads` leave them out; the seeds in `wasabid/tests/soak.rs` run without, so that they keep their plans.

- `slow`: half of the servers of a failure domain take five times as long.
- `full`: half of the servers of a failure domain answer no opening packets and accept no connections of health checks (the listener's queue is full), and go on serving their open flows.
- Neither counts as a fault, so that a reset of an open flow is a breach of `Flow`.
- Callers acknowledge answers now.
They did not before, so that a balancer could not see that a server answers.

The test of plans covers the loads as well; a new one pins faults that a run of the previous code printed for seed 3.

--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -34,6 +34,8 @@
     /// Time within which faults start, in seconds [default: 15]
     #[bpaf(argument("S"), fallback(15))]
     seconds: u64,
+    /// Leave out loads: crowds, slow and full servers, full links
+    faults_only: bool,
     /// Path of the balancer's executable [default: wasabid of the same build]
     #[bpaf(argument("FILE"))]
     program: Option<PathBuf>,
@@ -47,6 +49,7 @@
     let config = Config {
         seed,
         span: Span::secs(options.seconds),
+        has_loads: !options.faults_only,
         addresses: Addresses::new(slot),
         program: options
             .program
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -77,6 +77,8 @@
     inbox: mpsc::Receiver<Packet>,
     /// The server's sequence number, from its answer to the SYN.
     number: u32,
+    /// Position up to which the caller has received the server's answers.
+    received: u32,
     /// The last route token received.
     token: u32,
     /// The caller's sequence number; increases by one with each request.
@@ -123,6 +125,7 @@
             service,
             inbox,
             number: 0,
+            received: 0,
             token: 0,
             seq: 1,
         }
@@ -173,6 +176,7 @@
                 }
                 if packet.flags & (SYN | ACK) == SYN | ACK {
                     flow.number = packet.seq;
+                    flow.received = packet.seq;
                     flow.token = packet.token;
                     return true;
                 }
@@ -193,12 +197,15 @@
         let expected = server::answer(data);
         while Instant::now() < until {
             let packet = Packet::new(ACK, flow.caller, flow.service);
-            let packet = packet.with_seq_ack_token(flow.seq, flow.number, flow.token);
+            let packet = packet.with_seq_ack_token(flow.seq, flow.received, flow.token);
             self.send(packet.with_data(data.to_vec()).with_checksum())
                 .await;
             let resend_at = until.min(Instant::now() + wait);
             while let Some(packet) = self.recv(flow, resend_at).await {
                 if let Some(reply) = self.classify(flow, &packet, &expected) {
+                    if !packet.data.is_empty() {
+                        self.acknowledge(flow).await;
+                    }
                     return reply;
                 }
             }
@@ -207,6 +214,14 @@
         Reply::TimedOut
     }
 
+    /// Acknowledges an answer. Balancers see only callers' packets, so that this is how they learn
+    /// that a server has answered.
+    async fn acknowledge(&self, flow: &Flow) {
+        let packet = Packet::new(ACK, flow.caller, flow.service);
+        let packet = packet.with_seq_ack_token(flow.seq + 1, flow.received, flow.token);
+        self.send(packet.with_checksum()).await;
+    }
+
     fn classify(&self, flow: &mut Flow, packet: &Packet, expected: &[u8]) -> Option<Reply> {
         if packet.flags & RST != 0 {
             self.check_reset(flow, packet);
@@ -219,6 +234,7 @@
         if packet.ack != flow.seq {
             return None;
         }
+        flow.received = flow.received.wrapping_add(packet.data.len() as u32);
         if packet.data == b"not run" {
             return Some(Reply::NotRun);
         }
@@ -248,7 +264,7 @@
 
     async fn finish_flow(&self, flow: &mut Flow) {
         let packet = Packet::new(ACK | FIN, flow.caller, flow.service);
-        let packet = packet.with_seq_ack_token(flow.seq + 1, flow.number, flow.token);
+        let packet = packet.with_seq_ack_token(flow.seq + 1, flow.received, flow.token);
         self.send(packet.with_checksum()).await;
         self.remove_flow(flow);
     }
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -158,8 +158,8 @@
 
     /// Checks a reset that a balancer sent for a flow that was not open yet. It is a breach only if
     /// the route's addition was acknowledged longer ago than [`ROUTING_APPLY_TIME`] plus [`SLACK`],
-    /// the route was not removed, and the balancer, all links and more than two servers of the
-    /// route's pool are settled.
+    /// the route was not removed, the balancer and all links are settled, and more than two servers
+    /// of the route's pool are settled and not full.
     pub fn check_refusal(&mut self, now: Time, route: u8, via: Option<usize>) {
         let Some(via) = via.filter(|&via| self.is_settled(via, now)) else {
             return;
@@ -175,8 +175,9 @@
         let pool = route_now.pool;
         let last_fault = self.link_last_fault.iter().flatten().max().copied();
         let is_link_settled = last_fault.is_none_or(|at| now.since(at) >= SETTLE_TIME);
-        let settled =
-            |server: &&crate::server::Server| server.pool == pool && server.is_settled(now);
+        let settled = |server: &&crate::server::Server| {
+            server.pool == pool && server.is_settled(now) && !server.is_full(now)
+        };
         let has_servers = self.servers.iter().filter(settled).count() > 2;
         if is_due && is_link_settled && has_servers {
             let what = format!("route {route} refused by balancer {via}");
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -155,6 +155,14 @@
                     }
                 }
             }
+            Kind::Slow => {
+                self.load_servers(index, duration, |server, end| server.slow_until = end)
+                    .await
+            }
+            Kind::Full => {
+                self.load_servers(index, duration, |server, end| server.full_until = end)
+                    .await
+            }
         }
     }
 
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -5,12 +5,14 @@
 //! servers, callers and the fabric are tasks of the run. Frames between balancers, and the
 //! balancers' calls to the platform, pass relays that can delay, drop, partition and stall them. A
 //! fault plan drawn from the seed sends signals to processes, disturbs links, servers and the
-//! platform, and changes the configuration. Meanwhile callers send requests, and a checker compares
+//! platform, and changes the configuration. Loads drawn from the seed make servers slow or full.
+//! Meanwhile callers send requests, and a checker compares
 //! what callers and servers observe with the promises that balancers make.
 //!
 //! - [`run`]: a whole run, from set-up to report.
 //! - [`plan`]: draws the faults of a seed.
 //! - [`fault`]: injects and reverts faults.
+//! - [`load`]: injects loads.
 //! - [`checker`]: the promises, and the checks that detect breaches.
 //! - [`world`]: state that the tasks of a run share.
 //! - [`address`]: loopback addresses of a run.
@@ -19,6 +21,7 @@
 //! - [`fabric`]: probes balancers and spreads callers' packets over them.
 //! - [`relay`]: relays for frames between balancers and for calls to the platform.
 //! - [`server`]: backend servers.
+//! - [`health`]: health checks of backend servers.
 //! - [`caller`]: callers and probes of routes.
 
 pub mod address;
@@ -26,6 +29,8 @@
 pub mod checker;
 pub mod fabric;
 pub mod fault;
+pub mod health;
+pub mod load;
 pub mod operator;
 pub mod plan;
 pub mod process;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -1,7 +1,8 @@
 //! The fault plan of a seed. Faults are drawn at random; they may follow each other or overlap.
 //!
 //! A seed always gives the same plan: the order of the draws and of the variants of [`Kind`] is
-//! part of that.
+//! part of that. Loads are drawn from a random stream of their own, so that a seed keeps the faults
+//! that it had before there were loads.
 
 use base::prelude::*;
 use rand::Rng;
@@ -17,6 +18,8 @@
 
 /// Makes the random stream of the plan differ from that of the run, which has the same seed.
 const PLAN_SALT: u64 = 0x706c_616e;
+/// Makes the random stream of the loads differ from the others of the same seed.
+const LOAD_SALT: u64 = 0x6c6f_6164;
 /// Time before the first fault; longer than the time after which balancers count as settled.
 pub const WARM_UP: Span = Span::secs(5);
 /// Time after the last fault. The system recovers first, then requests are checked.
@@ -25,6 +28,13 @@
 const FAULTS_PER_10_S: std::ops::RangeInclusive<u64> = 5..=12;
 /// Range of the duration of a fault, in milliseconds.
 const DURATION_MS: std::ops::Range<u64> = 300..5_000;
+/// Range of the number of loads of a seed.
+const LOADS: std::ops::RangeInclusive<u64> = 2..=4;
+/// Time after the last possible start of a fault within which loads still start, so that some of
+/// them meet no fault.
+const LOAD_TAIL: Span = Span::secs(8);
+/// Number of the kinds that are faults. The kinds after them are loads.
+const FAULT_KINDS: usize = Kind::Slow as usize;
 
 /// Kinds of faults. They are printed under their names, in kebab case.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, EnumCount, FromRepr)]
@@ -88,6 +98,10 @@
     RemoveRoute,
     /// The routing changes several times in quick succession.
     Storm,
+    /// Half of the servers of a failure domain run several times slower.
+    Slow,
+    /// Half of the servers of a failure domain are at their connection limit.
+    Full,
 }
 
 /// A planned fault.
@@ -116,10 +130,25 @@
 }
 
 fn draw_fault(random: &mut ChaCha8Rng, span: Span) -> Fault {
-    let kind = random.random_range(0..Kind::COUNT);
+    let kind = random.random_range(0..FAULT_KINDS);
+    draw_details(random, kind, span)
+}
+
+/// Draws the loads of a seed. They start within `span` and [`LOAD_TAIL`] after [`WARM_UP`].
+pub fn draw_loads(seed: u64, span: Span) -> Vec<Fault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ LOAD_SALT);
+    let count = random.random_range(LOADS);
+    let draw = |_| {
+        let kind = random.random_range(FAULT_KINDS..Kind::COUNT);
+        draw_details(&mut random, kind, Span(span.0 + LOAD_TAIL.0))
+    };
+    (0..count).map(draw).collect()
+}
+
+fn draw_details(random: &mut ChaCha8Rng, kind: usize, span: Span) -> Fault {
     let kind = Kind::from_repr(kind).expect("the index is below the number of kinds");
     let count = match kind {
-        Kind::Roll | Kind::Cut | Kind::OneWay | Kind::Out => DOMAINS,
+        Kind::Roll | Kind::Cut | Kind::OneWay | Kind::Out | Kind::Slow | Kind::Full => DOMAINS,
         Kind::Replace | Kind::Silent | Kind::Hang | Kind::Restart => address::SERVERS,
         _ => BALANCERS,
     };
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -48,6 +48,8 @@
     pub seed: u64,
     /// Time within which faults start.
     pub span: Span,
+    /// Whether the loads of the seed are added to its faults.
+    pub has_loads: bool,
     /// The addresses to use; concurrent runs need different ones.
     pub addresses: Addresses,
     /// Path of the balancer's executable.
@@ -91,7 +93,10 @@
     let injector = set_up(&world, &config).await?;
     let start = Instant::now();
     let mut tasks = JoinSet::new();
-    let faults = plan::draw(config.seed, config.span);
+    let mut faults = plan::draw(config.seed, config.span);
+    if config.has_loads {
+        faults.extend(plan::draw_loads(config.seed, config.span));
+    }
     for (number, &fault) in (0..).zip(&faults) {
         let injector = injector.clone();
         let at = start + Duration::from_micros(fault.at.0);
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -11,15 +11,12 @@
 use base::prelude::*;
 use eyre::Result;
 use rand::Rng;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::net::UdpSocket;
 
 use crate::address;
 use crate::checker::Promise;
 use crate::checker::SETTLE_TIME;
+use crate::health;
 use crate::world::OpenFlow;
 use crate::world::State;
 use crate::world::World;
@@ -36,8 +33,8 @@
 const QUEUE_MAX: usize = 8;
 /// Range of the time to execute a request, in milliseconds.
 const WORK_MS: std::ops::Range<u64> = 5..30;
-/// Time for which an unresponsive server holds the connection of a health check.
-const STALLED_CHECK_HOLD: Duration = Duration::from_secs(1);
+/// Factor on the time to execute a request at a slow server.
+const SLOW_FACTOR: u32 = 5;
 /// Largest datagram, in bytes.
 const DATAGRAM_BYTES: usize = 2_048;
 
@@ -76,6 +73,11 @@
     pub cold_until: Time,
     /// Times of new flows within the last second, recorded while it is cold.
     pub new_flows: VecDeque<Time>,
+    /// Until when it is slow.
+    pub slow_until: Time,
+    /// Until when it is at its connection limit: it answers neither opening packets nor health
+    /// checks, and serves its open flows.
+    pub full_until: Time,
     /// Number of its restarts.
     pub incarnation: u32,
     /// Number of requests that it executed.
@@ -124,6 +126,8 @@
             last_fault: Time::default(),
             cold_until: Time::default(),
             new_flows: VecDeque::new(),
+            slow_until: Time::default(),
+            full_until: Time::default(),
             incarnation: 0,
             executed: 0,
             flows: BTreeMap::new(),
@@ -132,7 +136,12 @@
         }
     }
 
-    /// Returns whether it answers packets and health checks.
+    /// Returns whether it is at its connection limit.
+    pub fn is_full(&self, now: Time) -> bool {
+        self.is_responsive() && now < self.full_until
+    }
+
+    /// Returns whether it answers packets and, unless it is full, health checks.
     pub fn is_responsive(&self) -> bool {
         matches!(self.status, Status::Healthy | Status::Draining(_))
     }
@@ -176,34 +185,12 @@
 pub async fn serve(world: World, address: usize) -> Result<()> {
     let at = world.addresses.server(address);
     let socket = Arc::new(UdpSocket::bind(at).await?);
-    let listener = TcpListener::bind(at).await?;
-    tokio::spawn(serve_health_checks(world.clone(), address, listener));
+    let listener = health::bind(at)?;
+    tokio::spawn(health::serve(world.clone(), address, listener));
     tokio::spawn(serve_packets(world, address, socket));
     Ok(())
 }
 
-async fn serve_health_checks(world: World, address: usize, listener: TcpListener) {
-    while let Ok((stream, _)) = listener.accept().await {
-        let is_responsive = world.with(|state, _| {
-            let server = state.server_at[address];
-            server.is_some_and(|server| state.servers[server].is_responsive())
-        });
-        tokio::spawn(answer_health_check(stream, is_responsive));
-    }
-}
-
-async fn answer_health_check(mut stream: TcpStream, is_responsive: bool) {
-    let mut buffer = [0; 512];
-    // Errors are ignored: the balancer may have closed the connection.
-    let _ = stream.read(&mut buffer).await;
-    if is_responsive {
-        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
-        let _ = stream.write_all(answer).await;
-    } else {
-        tokio::time::sleep(STALLED_CHECK_HOLD).await;
-    }
-}
-
 async fn serve_packets(world: World, address: usize, socket: Arc<UdpSocket>) {
     let mut buffer = [0; DATAGRAM_BYTES];
     while let Ok((length, from)) = socket.recv_from(&mut buffer).await {
@@ -358,7 +345,10 @@
         return answer_packet(server_state, packet.from, packet.to, seq, answer?).map(Action::Send);
     }
     flow.last_request = Some((packet.seq, None));
-    let span = Duration::from_millis(state.random.random_range(WORK_MS));
+    let mut span = Duration::from_millis(state.random.random_range(WORK_MS));
+    if now < state.servers[server].slow_until {
+        span *= SLOW_FACTOR;
+    }
     let work = Work {
         server,
         incarnation: state.servers[server].incarnation,
@@ -383,6 +373,7 @@
     let known = state.servers[server].flows.get(&packet.from);
     let number = match known {
         Some(flow) => flow.number,
+        None if state.servers[server].is_full(now) => return None,
         None => {
             state.check_new_flow(now, server, route, via);
             let number = state.assign_flow_number(server, incarnation);
--- a/crates/soak/tests/parts.rs
+++ b/crates/soak/tests/parts.rs
@@ -67,10 +67,12 @@
     let span = Span::secs(15);
     assert_eq!(plan::draw(7, span), plan::draw(7, span));
     assert_ne!(plan::draw(7, span), plan::draw(8, span));
-    let all: Vec<_> = (0..200).flat_map(|seed| plan::draw(seed, span)).collect();
+    assert_eq!(plan::draw_loads(7, span), plan::draw_loads(7, span));
+    let mut all: Vec<_> = (0..200).flat_map(|seed| plan::draw(seed, span)).collect();
     let within =
         |fault: &plan::Fault| fault.at >= plan::WARM_UP && fault.at.0 < plan::WARM_UP.0 + span.0;
     assert!(all.iter().all(within));
+    all.extend((0..200).flat_map(|seed| plan::draw_loads(seed, span)));
     let kinds: std::collections::BTreeSet<String> =
         all.iter().map(|fault| fault.kind.to_string()).collect();
     assert_eq!(
@@ -80,6 +82,17 @@
     );
 }
 
+/// Guards against draws that change the faults of seeds that failed once and run in CI.
+#[test]
+fn faults_of_a_seed_are_those_before_there_were_loads() {
+    let faults: Vec<String> = plan::draw(3, Span::secs(8))
+        .iter()
+        .map(plan::Fault::to_string)
+        .collect();
+    assert_eq!(faults[0], "5062 ms silent 14 for 2704 ms");
+    assert_eq!(faults[7], "10625 ms pause 4 for 3358 ms");
+}
+
 /// Returns the breaches that `act` causes in a state with three servers, one route that was added
 /// long ago, and the changes of `prepare`.
 fn breaches_of(
@@ -178,6 +191,9 @@
     reset_of_open_flow: |_, _| (), reset => [Promise::Flow];
     reset_after_server_restart: |state, _| state.servers[0].incarnation = 1, reset => [];
     reset_after_server_fault: |state, now| state.servers[0].last_fault = now, reset => [];
+    reset_of_open_flow_at_slow_server: |state, now| state.servers[0].slow_until = now + Span::secs(1), reset => [Promise::Flow];
+    reset_of_open_flow_at_full_server: |state, now| state.servers[0].full_until = now + Span::secs(1), reset => [Promise::Flow];
+    refusal_while_a_server_is_full: |state, now| state.servers[0].full_until = now + Span::secs(1), refuse => [];
     reset_while_domain_is_out: |state, now| state.out_domains.extend([(0, now)]), reset => [];
     misrouted_flow: |_, _| (), misroute => [Promise::Flow];
     misrouted_flow_after_partition: |state, now| state.record_link_fault(0, 1, now), misroute => [];
--- a/crates/wasabid/tests/soak.rs
+++ b/crates/wasabid/tests/soak.rs
@@ -13,6 +13,7 @@
     let config = Config {
         seed,
         span,
+        has_loads: false,
         addresses: Addresses::new(slot),
         program: PathBuf::from(env!("CARGO_BIN_EXE_wasabid")),
         folder: folder.clone(),
