soak: a crowd on a pool with priorities, late refusals

Cause: nothing in the soak test was short of capacity, so admission by priority, the time of a refusal and the recovery after a crowd were not checked with real processes.

- `crowd`: 3.5 times the callers for 8 s, on pool 1, whose routes 1 and 3 are urgent and less urgent.
In runs with loads its servers take five times as long (270 requests per second for 490), with a target of 1.5 s, so that the packets of a crowd do not overload the machine.
- Promise `Refusal`: a refused opening packet is answered within 250 ms, from the first copy that the balancer received.
Flows of which a copy reached a server were not refused at first.
- Promise `Priority`: urgent requests are within their target at least as often as less urgent ones.
- A refusal by the pool of a crowd is no breach of `Config` until 2 s after it.

Callers do not retransmit acknowledged data. They did so for each request of more than 200 ms. - Answers have 400 bytes instead of 23. Balancers recognise a rejection as less than a quarter of the usual answer, and a rejection has 7 bytes.

`--slot` separates runs that are started apart, `--keep-logs` keeps logs of seeds without breaches.

--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -31,11 +31,16 @@
     /// Most concurrent runs, of 9 processes each [default: 1]
     #[bpaf(argument("COUNT"), guard(|&jobs| (1..=SLOTS_MAX).contains(&jobs), "from 1 to 64"), fallback(1))]
     jobs: u8,
+    /// First slot of addresses; runs started apart from each other need different ones [default: 0]
+    #[bpaf(argument("SLOT"), guard(|&slot| slot < SLOTS_MAX, "from 0 to 63"), fallback(0))]
+    slot: u8,
     /// Time within which faults start, in seconds [default: 15]
     #[bpaf(argument("S"), fallback(15))]
     seconds: u64,
     /// Leave out loads: crowds, slow and full servers, full links
     faults_only: bool,
+    /// Keep the logs of seeds without breaches
+    keep_logs: bool,
     /// Path of the balancer's executable [default: wasabid of the same build]
     #[bpaf(argument("FILE"))]
     program: Option<PathBuf>,
@@ -58,7 +63,7 @@
         folder: folder.clone(),
     };
     let report = run::execute(config).await?;
-    if report.breaches.is_empty() {
+    if report.breaches.is_empty() && !options.keep_logs {
         std::fs::remove_dir_all(&folder)?;
     }
     Ok((report, slot))
@@ -68,7 +73,9 @@
 async fn main() -> Result<ExitCode> {
     let options = options().run();
     let mut next_seed = options.seed;
-    let mut free_slots: Vec<u8> = (0..options.jobs).collect();
+    let mut free_slots: Vec<u8> = (options.slot..SLOTS_MAX)
+        .take(usize::from(options.jobs))
+        .collect();
     let mut runs = JoinSet::new();
     let mut has_breaches = false;
     loop {
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -12,7 +12,6 @@
 
 use base::prelude::*;
 use eyre::Result;
-use rand::Rng;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -21,8 +20,6 @@
 use crate::checker::Promise;
 use crate::fabric;
 use crate::server;
-use crate::world::CompletedRequest;
-use crate::world::Outcome;
 use crate::world::World;
 use stub::packet::Packet;
 use stub::packet::ACK;
@@ -30,6 +27,8 @@
 use stub::packet::RST;
 use stub::packet::SYN;
 
+pub mod request;
+
 /// Time-outs of the first SYN and its retransmissions. The attempt fails after the last.
 const SYN_TIMEOUTS: [Duration; 3] = [
     Duration::from_millis(200),
@@ -42,16 +41,6 @@
 const RETRANSMIT_MAX: Duration = Duration::from_millis(1_600);
 /// Port of the first flow of an endpoint.
 const FIRST_PORT: u16 = 1_024;
-/// Most attempts of a request.
-const ATTEMPTS_MAX: u32 = 3;
-/// Time within which a request must be answered, over all its attempts.
-const DEADLINE: Duration = Duration::from_secs(3);
-/// Range of the pause before each request of a caller, in milliseconds.
-const PAUSE_MS: std::ops::Range<u64> = 40..400;
-/// Most requests on a long flow.
-const LONG_FLOW_REQUESTS: u32 = 20;
-/// Time between two probes of recently changed routes.
-const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 /// Largest datagram, in bytes.
 const DATAGRAM_BYTES: usize = 2_048;
 /// Most packets that are queued for a flow; further ones are lost.
@@ -119,9 +108,12 @@
         let port = self.next_port.fetch_add(1, Ordering::Relaxed);
         let (sender, inbox) = mpsc::channel(INBOX_PACKETS);
         self.inboxes().insert(port, sender);
+        let caller = SocketAddrV4::new(*self.world.addresses.caller(self.domain).ip(), port);
+        // Late copies from an earlier flow of the port.
+        self.world.with(|state, _| state.forwarded.remove(&caller));
         Flow {
             port,
-            caller: SocketAddrV4::new(*self.world.addresses.caller(self.domain).ip(), port),
+            caller,
             service,
             inbox,
             number: 0,
@@ -141,7 +133,9 @@
             .with(|state, _| state.open_flows.remove(&flow.caller));
     }
 
-    async fn send(&self, packet: Packet) -> usize {
+    /// Sends a packet. Returns the balancer that the fabric selected, and whether the packet was
+    /// sent to it.
+    async fn send(&self, packet: Packet) -> (usize, bool) {
         let (balancer, is_lost) = self.world.with(|state, _| {
             let balancer = fabric::select_balancer(state, self.domain, packet.from);
             (balancer, state.draw_loss())
@@ -151,26 +145,35 @@
             // A packet to a balancer that is not running is lost, as on any network.
             let _ = self.socket.send_to(&packet.encode(), to).await;
         }
-        balancer
+        (balancer, !is_lost)
     }
 
     /// Opens a flow. Returns whether a server answered.
     async fn open_flow(&self, flow: &mut Flow) -> bool {
         let route = flow.service.ip().octets()[3];
+        // The balancer that received the latest copy, and when it received the first one.
+        let mut received: Option<(usize, Time)> = None;
         for (copies, wait) in (0..).zip(SYN_TIMEOUTS) {
             let packet = Packet::new(SYN, flow.caller, flow.service);
             // A SYN carries the number of copies sent before it in place of an acknowledgement.
             let packet = packet
                 .with_seq_ack_token(flow.seq, copies, 0)
                 .with_checksum();
-            let via = self.send(packet).await;
+            let (via, is_sent) = self.send(packet).await;
+            if is_sent && received.is_none_or(|(balancer, _)| balancer != via) {
+                received = Some((via, self.world.now()));
+            }
             let until = Instant::now() + wait;
             while let Some(packet) = self.recv(flow, until).await {
                 if packet.flags & RST != 0 {
                     // Only balancers send resets without a checksum.
                     if packet.checksum == 0 {
-                        self.world
-                            .with(|state, now| state.check_refusal(now, route, Some(via)));
+                        self.world.with(|state, now| {
+                            state.check_refusal(now, route, Some(via));
+                            if let Some((via, since)) = received {
+                                state.check_refusal_time(now, flow.caller, since, via);
+                            }
+                        });
                     }
                     return false;
                 }
@@ -200,8 +203,12 @@
             let packet = packet.with_seq_ack_token(flow.seq, flow.received, flow.token);
             self.send(packet.with_data(data.to_vec()).with_checksum())
                 .await;
-            let resend_at = until.min(Instant::now() + wait);
+            let mut resend_at = until.min(Instant::now() + wait);
             while let Some(packet) = self.recv(flow, resend_at).await {
+                if is_acknowledgement(flow, &packet) {
+                    // The server has the request, and sends its answer again if that is lost.
+                    resend_at = until;
+                }
                 if let Some(reply) = self.classify(flow, &packet, &expected) {
                     if !packet.data.is_empty() {
                         self.acknowledge(flow).await;
@@ -270,6 +277,13 @@
     }
 }
 
+/// Returns whether a server acknowledges the caller's latest data without an answer to it.
+fn is_acknowledgement(flow: &Flow, packet: &Packet) -> bool {
+    packet.flags == ACK
+        && packet.data.is_empty()
+        && (packet.seq, packet.ack) == (flow.number, flow.seq)
+}
+
 async fn receive(endpoint: Endpoint) {
     let mut buffer = [0; DATAGRAM_BYTES];
     while let Ok((length, _)) = endpoint.socket.recv_from(&mut buffer).await {
@@ -292,108 +306,3 @@
         }
     }
 }
-
-/// Sends a caller's requests until the run ends. `caller` is unique among the callers of the run.
-/// If `is_long`, a flow is kept for further requests.
-pub async fn run(endpoint: Endpoint, caller: u64, is_long: bool) {
-    let mut flow: Option<(Flow, u32)> = None;
-    let mut count = 0u64;
-    loop {
-        let (pause, is_non_idempotent, route) = endpoint.world.with(|state, _| {
-            let pause = state.random.random_range(PAUSE_MS);
-            let present = state
-                .routes
-                .iter()
-                .filter(|(_, route)| route.removed.is_none());
-            let present: Vec<u8> = present.map(|(&route, _)| route).collect();
-            let route = present[state.random.random_range(0..present.len())];
-            (pause, state.random.random_range(0..4) == 0, route)
-        });
-        tokio::time::sleep(Duration::from_millis(pause)).await;
-        count += 1;
-        let id = caller << 24 | count;
-        let method = if is_non_idempotent { "POST" } else { "GET" };
-        let sent = endpoint.world.now();
-        let until = Instant::now() + DEADLINE;
-        let service = endpoint.world.addresses.service(route);
-        let outcome =
-            attempt_request(&endpoint, &mut flow, service, is_long, method, id, until).await;
-        let request = CompletedRequest { sent, outcome };
-        endpoint
-            .world
-            .with(|state, _| state.completed.push(request));
-    }
-}
-
-/// Makes up to [`ATTEMPTS_MAX`] attempts of a request. `idle` is the flow that the caller keeps,
-/// with the number of requests that it has served. It is used first, also if it leads to another
-/// service.
-async fn attempt_request(
-    endpoint: &Endpoint,
-    idle: &mut Option<(Flow, u32)>,
-    service: SocketAddrV4,
-    is_long: bool,
-    method: &str,
-    id: u64,
-    until: Instant,
-) -> Outcome {
-    for attempt in 0..ATTEMPTS_MAX {
-        if Instant::now() >= until {
-            return Outcome::TimedOut;
-        }
-        let (mut flow, used) = match idle.take() {
-            Some(idle) => idle,
-            None => {
-                let mut flow = endpoint.new_flow(service);
-                if !endpoint.open_flow(&mut flow).await {
-                    endpoint.remove_flow(&flow);
-                    continue;
-                }
-                (flow, 0)
-            }
-        };
-        let data = format!("{method} /{id} HTTP/1.1\r\nX-Request-Id: {id:x}-{attempt}\r\n\r\n");
-        let reply = endpoint
-            .send_request(&mut flow, data.as_bytes(), until)
-            .await;
-        match reply {
-            Reply::Served if is_long && used + 1 < LONG_FLOW_REQUESTS => {
-                *idle = Some((flow, used + 1))
-            }
-            _ => endpoint.finish_flow(&mut flow).await,
-        }
-        match reply {
-            Reply::Served | Reply::Last => return Outcome::Served,
-            Reply::NotRun => (),
-            Reply::TimedOut => return Outcome::TimedOut,
-            Reply::Reset if method == "POST" => return Outcome::Refused,
-            Reply::Reset => (),
-        }
-    }
-    Outcome::Refused
-}
-
-/// Opens flows on routes that were recently added or removed, as operators' own probes do.
-pub async fn probe_routes(endpoint: Endpoint) {
-    loop {
-        tokio::time::sleep(PROBE_INTERVAL).await;
-        let route = endpoint.world.with(|state, now| {
-            let recent = state.routes.iter().filter(|(_, route)| {
-                let changed = route.removed.unwrap_or(route.added);
-                now.since(changed) < Span::secs(8)
-            });
-            let recent: Vec<u8> = recent.map(|(&route, _)| route).collect();
-            if recent.is_empty() {
-                return None;
-            }
-            Some(recent[state.random.random_range(0..recent.len())])
-        });
-        let Some(route) = route else { continue };
-        let mut flow = endpoint.new_flow(endpoint.world.addresses.service(route));
-        if endpoint.open_flow(&mut flow).await {
-            endpoint.finish_flow(&mut flow).await;
-        } else {
-            endpoint.remove_flow(&flow);
-        }
-    }
-}
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 use strum::Display;
 
+use crate::operator::PRIORITY_POOL;
 use crate::server::Status;
 use crate::world::State;
 
@@ -26,6 +27,11 @@
 pub const COLD_FLOWS_MAX: usize = 8;
 /// Time added to each bound for scheduling delays of the machine.
 pub const SLACK: Span = Span::millis(300);
+/// Longest time from an opening packet to its refusal, as its caller sees it: 50 ms at the balancer,
+/// the rest for scheduling delays of the machine.
+pub const REFUSAL_TIME: Span = Span::millis(250);
+/// Time after a crowd within which service is back to its previous level.
+pub const CROWD_RECOVERY_TIME: Span = Span::secs(2);
 /// Consecutive packets of one flow that reach servers other than its own before the flow counts as
 /// misrouted.
 const MISROUTED_MAX: u32 = 3;
@@ -51,13 +57,18 @@
     Out,
     /// A cold server got new flows above its limit.
     Cold,
+    /// An opening packet was refused late.
+    Refusal,
+    /// Less urgent requests were served before urgent ones.
+    Priority,
     /// A change of the routing was not applied in time, or was reverted.
     Config,
     /// A planned stop exceeded the grace period or failed.
     Stop,
     /// A process exited on its own, or could not be started.
     End,
-    /// Too few requests were served after all faults had ended.
+    /// Too few requests were served after all faults or a crowd had ended, or by balancers other
+    /// than the one with a full link.
     Service,
     /// A log line is not valid JSON.
     Log,
@@ -173,18 +184,48 @@
         };
         let is_due = now > route_now.added + ROUTING_APPLY_TIME + SLACK;
         let pool = route_now.pool;
-        let last_fault = self.link_last_fault.iter().flatten().max().copied();
-        let is_link_settled = last_fault.is_none_or(|at| now.since(at) >= SETTLE_TIME);
+        // A pool that is short of capacity may refuse flows.
+        let is_short = pool == PRIORITY_POOL && self.had_crowd(now, CROWD_RECOVERY_TIME);
         let settled = |server: &&crate::server::Server| {
             server.pool == pool && server.is_settled(now) && !server.is_full(now)
         };
         let has_servers = self.servers.iter().filter(settled).count() > 2;
-        if is_due && is_link_settled && has_servers {
+        if is_due && !is_short && self.are_links_settled(now) && has_servers {
             let what = format!("route {route} refused by balancer {via}");
             self.record_breach(now, Promise::Config, what);
         }
     }
 
+    fn are_links_settled(&self, now: Time) -> bool {
+        let last_fault = self.link_last_fault.iter().flatten().max();
+        last_fault.is_none_or(|&at| now.since(at) >= SETTLE_TIME)
+    }
+
+    /// Returns whether everything except the balancer `except` is settled, and no other load is on a
+    /// server.
+    pub fn is_calm(&self, now: Time, except: Option<usize>) -> bool {
+        let is_server_calm = |&server: &usize| {
+            let server = &self.servers[server];
+            let load_end = server.slow_until.max(server.full_until);
+            server.is_settled(now) && server.status == Status::Healthy && now >= load_end
+        };
+        self.out_domains.is_empty()
+            && self.are_links_settled(now)
+            && (0..self.balancers.len()).all(|id| Some(id) == except || self.is_settled(id, now))
+            && self.server_at.iter().flatten().all(is_server_calm)
+    }
+
+    /// Checks how long a balancer took to refuse an opening packet that it received at `since`. A
+    /// flow of which a copy reached a server was not refused at first.
+    pub fn check_refusal_time(&mut self, now: Time, caller: SocketAddrV4, since: Time, via: usize) {
+        let waited = now.since(since);
+        if waited > REFUSAL_TIME && self.is_settled(via, now) && !self.forwarded.contains(&caller) {
+            let waited = waited.as_millis();
+            let what = format!("{caller} refused by balancer {via} after {waited} ms");
+            self.record_breach(now, Promise::Refusal, what);
+        }
+    }
+
     /// Checks a reset of an open flow that was not sent by the flow's server.
     pub fn check_reset(&mut self, now: Time, caller: SocketAddrV4, route: u8) {
         let Some(flow) = self.open_flows.get(&caller).copied() else {
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -6,9 +6,61 @@
 
 use crate::address;
 use crate::address::DOMAINS;
+use crate::checker::Promise;
+use crate::checker::CROWD_RECOVERY_TIME;
 use crate::fault::Injector;
+use crate::operator;
 use crate::operator::POOLS;
+use crate::operator::PRIORITY_POOL;
+use crate::operator::PRIORITY_TARGET;
 use crate::server::Server;
+use crate::world::CompletedRequest;
+use crate::world::Outcome;
+use crate::world::State;
+
+/// Duration of a crowd: that of the users' crowds.
+const CROWD_TIME: Span = Span::secs(8);
+/// Time from the start of a crowd until balancers know of it and its effects are judged.
+const CROWD_START_TIME: Span = Span::secs(1);
+/// Time before and after a crowd in which the level of service is measured.
+const LEVEL_TIME: Span = Span::secs(2);
+/// Difference of two shares of requests, in percent, that is due to chance.
+const MARGIN_PERCENT: usize = 5;
+/// Time between two checks for faults during a load.
+const WATCH_INTERVAL: Duration = Duration::from_millis(50);
+/// Time after which the last requests of a load have ended: their deadline.
+const END_TIME: Duration = Duration::from_secs(3);
+
+/// Share of requests that were answered in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Level {
+    sent: usize,
+    on_target: usize,
+}
+
+impl Level {
+    /// Returns the level of the requests that `is_counted` selects.
+    fn new(state: &State, is_counted: impl Fn(&CompletedRequest) -> bool) -> Level {
+        let counted = state.completed.iter().filter(|request| is_counted(request));
+        let is_on_target = |request: &&CompletedRequest| {
+            request.outcome == Outcome::Served && request.took <= PRIORITY_TARGET
+        };
+        Level {
+            sent: counted.clone().count(),
+            on_target: counted.filter(is_on_target).count(),
+        }
+    }
+
+    fn percent(self) -> usize {
+        self.on_target * 100 / self.sent.max(1)
+    }
+}
+
+impl std::fmt::Display for Level {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}% of {}", self.percent(), self.sent)
+    }
+}
 
 /// Returns whether a load on half of the servers of a failure domain affects an address. Each pool
 /// has half of its servers of the domain among them.
@@ -34,4 +86,64 @@
         });
         tokio::time::sleep(duration).await;
     }
+
+    /// Returns at `end` whether nothing disturbed the run, other than the balancer `except`.
+    async fn watch(&self, end: Time, except: Option<usize>) -> bool {
+        let mut is_calm = true;
+        while self.world.now() < end {
+            is_calm &= self.world.with(|state, now| state.is_calm(now, except));
+            tokio::time::sleep(WATCH_INTERVAL).await;
+        }
+        is_calm
+    }
+
+    /// Brings a crowd, unless there is one, and checks what callers met.
+    pub(crate) async fn bring_crowd(&self) {
+        let crowd = self.world.with(|state, now| {
+            let is_over = !state.had_crowd(now, Span(CROWD_RECOVERY_TIME.0 + LEVEL_TIME.0));
+            is_over.then(|| *state.crowd.insert((now, now + CROWD_TIME)))
+        });
+        let Some((from, to)) = crowd else { return };
+        let is_calm = self
+            .watch(to + CROWD_RECOVERY_TIME + LEVEL_TIME, None)
+            .await;
+        tokio::time::sleep(END_TIME).await;
+        self.world
+            .with(|state, now| state.check_crowd(now, from, to, is_calm));
+    }
+}
+
+impl State {
+    /// Checks that urgent requests were served before less urgent ones during a crowd, and, if
+    /// nothing else disturbed the run, that service was back to its previous level in time.
+    pub fn check_crowd(&mut self, now: Time, from: Time, to: Time, is_calm: bool) {
+        let level = |from: Time, to: Time, priority: Option<u8>| {
+            Level::new(self, |request| {
+                let own = operator::priority(request.route);
+                self.pool_of(request.route) == Some(PRIORITY_POOL)
+                    && (from..to).contains(&request.sent)
+                    && priority.is_none_or(|priority| priority == own)
+            })
+        };
+        let start = from + CROWD_START_TIME;
+        let (urgent, other) = (
+            level(start, to, Some(0)),
+            level(start, to, Some(operator::LESS_URGENT)),
+        );
+        let back = to + CROWD_RECOVERY_TIME;
+        let (before, after) = (
+            level(from - LEVEL_TIME, from, None),
+            level(back, back + LEVEL_TIME, None),
+        );
+        let what = format!(
+            "crowd: urgent {urgent}, less urgent {other}, before {before}, after {after}, calm: {is_calm}"
+        );
+        if urgent.percent() + MARGIN_PERCENT < other.percent() {
+            self.record_breach(now, Promise::Priority, what.clone());
+        }
+        if is_calm && after.percent() + MARGIN_PERCENT < before.percent() {
+            self.record_breach(now, Promise::Service, what.clone());
+        }
+        self.load_results.push(what);
+    }
 }
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -24,6 +24,15 @@
 pub const POOLS: usize = 2;
 /// Number of routes that exist for the whole run.
 pub const PERMANENT_ROUTES: u8 = 4;
+/// The pool whose routes differ in priority.
+pub const PRIORITY_POOL: usize = 1;
+/// Time within which callers of that pool want an answer: five times the default of 300 ms, as the
+/// work of its servers takes five times as long as in the other pool.
+pub const PRIORITY_TARGET: Span = Span::millis(1_500);
+/// The permanent route of that pool with urgent requests, and the one with less urgent ones.
+pub const PRIORITY_ROUTES: (u8, u8) = (1, 3);
+/// Priority of the less urgent routes. Urgent ones have 0.
+pub const LESS_URGENT: u8 = 2;
 /// Delay before a failed write is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Time for which a server that starts during the run is cold.
@@ -43,6 +52,15 @@
     routing: Mutex<()>,
 }
 
+/// Returns the priority of a route: every second route of the pool with priorities is less urgent.
+pub fn priority(route: u8) -> u8 {
+    let (_, less_urgent) = PRIORITY_ROUTES;
+    match route % 4 == less_urgent {
+        true => LESS_URGENT,
+        false => 0,
+    }
+}
+
 fn pool_name(pool: usize) -> String {
     format!("p{pool}")
 }
@@ -151,7 +169,13 @@
         change(&mut routes);
         let route = |(&number, &pool): (&u8, &usize)| {
             let address = self.world.addresses.service(number);
-            json!({"address": address, "shares": [{"pool": pool_name(pool), "weight": 1}]})
+            let shares = json!([{"pool": pool_name(pool), "weight": 1}]);
+            let mut route =
+                json!({"address": address, "shares": shares, "priority": priority(number)});
+            if pool == PRIORITY_POOL {
+                route["target_ms"] = PRIORITY_TARGET.as_millis().into();
+            }
+            route
         };
         let pool = |pool: usize| json!({"name": pool_name(pool), "cold_per_minute": 120, "cold_ms": COLD_TIME.as_millis()});
         let spec = json!({
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -32,7 +32,7 @@
 const LOADS: std::ops::RangeInclusive<u64> = 2..=4;
 /// Time after the last possible start of a fault within which loads still start, so that some of
 /// them meet no fault.
-const LOAD_TAIL: Span = Span::secs(8);
+const LOAD_TAIL: Span = Span::secs(15);
 /// Number of the kinds that are faults. The kinds after them are loads.
 const FAULT_KINDS: usize = Kind::Slow as usize;
 
@@ -102,6 +102,8 @@
     Slow,
     /// Half of the servers of a failure domain are at their connection limit.
     Full,
+    /// More callers send requests to the pool with priorities than its servers can serve.
+    Crowd,
 }
 
 /// A planned fault.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -16,7 +16,8 @@
 use crate::address::Addresses;
 use crate::address::BALANCERS;
 use crate::address::DOMAINS;
-use crate::caller;
+use crate::caller::request;
+use crate::caller::request::Pattern;
 use crate::caller::Endpoint;
 use crate::checker::Breach;
 use crate::checker::Promise;
@@ -32,6 +33,8 @@
 
 /// Number of callers in each failure domain.
 const CALLERS_PER_DOMAIN: u64 = 12;
+/// Number of callers in each failure domain that a crowd adds, for 3.5 times as many in all.
+const CROWD_PER_DOMAIN: u64 = CALLERS_PER_DOMAIN * 5 / 2;
 /// One of this many callers uses long flows, which stay open for many requests.
 const LONG_FLOW_EVERY: u64 = 3;
 /// Least share of requests that is served after the recovery time, in percent.
@@ -79,6 +82,8 @@
     pub memory: u64,
     /// Number of lines that the balancers logged.
     pub lines: u64,
+    /// What callers met during loads.
+    pub loads: Vec<String>,
     /// Promises that were broken.
     pub breaches: Vec<Breach>,
 }
@@ -90,6 +95,7 @@
 /// Fails if the run cannot be set up, a fault cannot be injected, or a log cannot be read.
 pub async fn execute(config: Config) -> Result<Report> {
     let world = World::new(config.addresses, config.seed);
+    world.with(|state, _| state.has_loads = config.has_loads);
     let injector = set_up(&world, &config).await?;
     let start = Instant::now();
     let mut tasks = JoinSet::new();
@@ -144,6 +150,7 @@
             calm,
             memory,
             lines,
+            loads: state.load_results.clone(),
             breaches: state.breaches.clone(),
         }
     }))
@@ -183,12 +190,17 @@
     }
     for domain in 0..DOMAINS {
         let endpoint = Endpoint::bind(world.clone(), domain).await?;
-        for number in 0..CALLERS_PER_DOMAIN {
-            let id = domain as u64 * CALLERS_PER_DOMAIN + number;
-            let is_long = number % LONG_FLOW_EVERY == 0;
-            tokio::spawn(caller::run(endpoint.clone(), id, is_long));
+        let callers = CALLERS_PER_DOMAIN + CROWD_PER_DOMAIN;
+        for number in 0..callers {
+            let id = domain as u64 * callers + number;
+            let pattern = match number {
+                CALLERS_PER_DOMAIN.. => Pattern::Crowd,
+                _ if number % LONG_FLOW_EVERY == 0 => Pattern::Long,
+                _ => Pattern::Short,
+            };
+            tokio::spawn(request::run(endpoint.clone(), id, pattern));
         }
-        tokio::spawn(caller::probe_routes(endpoint));
+        tokio::spawn(request::probe_routes(endpoint));
     }
     Ok(injector)
 }
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -17,6 +17,7 @@
 use crate::checker::Promise;
 use crate::checker::SETTLE_TIME;
 use crate::health;
+use crate::operator::PRIORITY_POOL;
 use crate::world::OpenFlow;
 use crate::world::State;
 use crate::world::World;
@@ -27,14 +28,20 @@
 use stub::packet::RST;
 use stub::packet::SYN;
 
-/// Most requests that a server executes at a time.
-const CONCURRENCY_MAX: usize = 2;
-/// Most requests in a server's queue; further ones are rejected.
-const QUEUE_MAX: usize = 8;
+mod work;
+
+use work::Work;
+
+/// Bytes of an answer. Balancers recognise a rejection by its size, which is far smaller.
+const ANSWER_BYTES: usize = 400;
 /// Range of the time to execute a request, in milliseconds.
 const WORK_MS: std::ops::Range<u64> = 5..30;
 /// Factor on the time to execute a request at a slow server.
 const SLOW_FACTOR: u32 = 5;
+/// Factor on the time to execute a request of the pool with priorities. Its 12 servers complete 270
+/// requests per second; 36 callers send 80 per second to it, and a crowd some 490, of which 140 are
+/// urgent. Shorter requests would need a crowd whose packets overload the machine.
+const LONG_WORK_FACTOR: u32 = 5;
 /// Largest datagram, in bytes.
 const DATAGRAM_BYTES: usize = 2_048;
 
@@ -96,23 +103,11 @@
     is_open: bool,
     /// Sequence number of the last request, and its answer once there is one.
     last_request: Option<(u32, Option<Vec<u8>>)>,
+    /// Whether the caller has acknowledged that answer.
+    is_acknowledged: bool,
     is_closed: bool,
 }
 
-/// A request that is being executed or queued.
-#[derive(Clone, Debug)]
-struct Work {
-    server: usize,
-    /// Incarnation of the server that accepted it.
-    incarnation: u32,
-    /// Time to execute it.
-    span: Duration,
-    caller: SocketAddrV4,
-    service: SocketAddrV4,
-    seq: u32,
-    data: Vec<u8>,
-}
-
 impl Server {
     /// Makes a healthy, warm server.
     pub fn new(name: String, identity: u64, address: usize, pool: usize) -> Server {
@@ -164,17 +159,9 @@
 
 /// Returns the answer that a server gives to a request.
 pub fn answer(request: &[u8]) -> Vec<u8> {
-    format!("answer {:016x}", hash::bytes(request)).into_bytes()
-}
-
-/// Returns the id of a request that is not idempotent, or `None` for other requests.
-fn non_idempotent_id(data: &[u8]) -> Option<u64> {
-    let text = std::str::from_utf8(data).ok()?;
-    text.strip_prefix("POST /")?
-        .split([' ', '?'])
-        .next()?
-        .parse()
-        .ok()
+    let mut answer = format!("answer {:016x}", hash::bytes(request)).into_bytes();
+    answer.resize(ANSWER_BYTES, b'.');
+    answer
 }
 
 /// Starts to serve health checks and packets at an address until the run ends.
@@ -196,12 +183,6 @@
     while let Ok((length, from)) = socket.recv_from(&mut buffer).await {
         let SocketAddr::V4(from) = from else { continue };
         let via = world.addresses.balancer_of(*from.ip());
-        let here = address::domain_of(address);
-        let there = via.map_or(here, address::domain_of);
-        // The delay is not applied: only frames between balancers are delayed.
-        if world.datagram_delay(there, here).is_none() {
-            continue;
-        }
         let Some((identity, packet)) = buffer[..length].split_at_checked(IDENTITY_BYTES) else {
             continue;
         };
@@ -215,6 +196,15 @@
             world.with(|state, now| state.record_breach(now, Promise::Packet, what));
             continue;
         };
+        if packet.flags & SYN != 0 {
+            world.with(|state, _| state.forwarded.insert(packet.from));
+        }
+        let here = address::domain_of(address);
+        let there = via.map_or(here, address::domain_of);
+        // The delay is not applied: only frames between balancers are delayed.
+        if world.datagram_delay(there, here).is_none() {
+            continue;
+        }
         let reply = world.with(|state, now| {
             let server = state.server_at[address]?;
             let server_state = &state.servers[server];
@@ -230,14 +220,15 @@
 /// What a server does in response to a packet.
 enum Action {
     Send(Packet),
-    Execute(Work),
+    Execute(Packet, Work),
 }
 
 async fn perform_action(world: &World, socket: &Arc<UdpSocket>, next: Option<Action>) {
     match next {
         Some(Action::Send(packet)) => send_packet(world, socket, &packet).await,
-        Some(Action::Execute(work)) => {
-            drop(tokio::spawn(run_work(world.clone(), socket.clone(), work)))
+        Some(Action::Execute(acknowledgement, work)) => {
+            send_packet(world, socket, &acknowledgement).await;
+            drop(tokio::spawn(work::run(world.clone(), socket.clone(), work)))
         }
         None => (),
     }
@@ -254,17 +245,11 @@
     let _ = socket.send_to(&packet.encode(), to).await;
 }
 
-/// Executes a request, and then queued ones until the queue is empty.
-async fn run_work(world: World, socket: Arc<UdpSocket>, mut work: Work) {
-    loop {
-        tokio::time::sleep(work.span).await;
-        let (answer, next) = world.with(|state, now| complete_request(state, now, &work));
-        if let Some(answer) = answer {
-            send_packet(&world, &socket, &answer).await;
-        }
-        let Some(next) = next else { return };
-        work = next;
-    }
+/// Makes the acknowledgement of data. Servers send it at once, whatever they do with the data.
+fn acknowledge(number: u32, packet: &Packet) -> Packet {
+    let acknowledgement =
+        reply_to(ACK, packet).with_seq_ack_token(number, packet.seq, packet.token);
+    acknowledgement.with_checksum()
 }
 
 fn reply_to(flags: u8, packet: &Packet) -> Packet {
@@ -308,6 +293,9 @@
     let server_state = &mut state.servers[server];
     let flow = server_state.flows.get_mut(&packet.from)?;
     flow.token = packet.token;
+    // Callers give their next position in whatever they send after an answer.
+    let last = flow.last_request.as_ref();
+    flow.is_acknowledged |= last.is_some_and(|(seq, _)| packet.seq > *seq);
     if packet.flags & RST != 0 {
         flow.is_closed = true;
         return None;
@@ -342,10 +330,18 @@
         .filter(|(seq, _)| *seq == packet.seq);
     if let Some((seq, answer)) = last {
         // A retransmitted request: resends the answer, unless the request is still being executed.
-        return answer_packet(server_state, packet.from, packet.to, seq, answer?).map(Action::Send);
+        let Some(answer) = answer else {
+            return Some(Action::Send(acknowledge(flow.number, packet)));
+        };
+        return work::answer_packet(server_state, packet.from, packet.to, seq, answer)
+            .map(Action::Send);
     }
     flow.last_request = Some((packet.seq, None));
+    flow.is_acknowledged = false;
     let mut span = Duration::from_millis(state.random.random_range(WORK_MS));
+    if state.has_loads && state.servers[server].pool == PRIORITY_POOL {
+        span *= LONG_WORK_FACTOR;
+    }
     if now < state.servers[server].slow_until {
         span *= SLOW_FACTOR;
     }
@@ -358,7 +354,7 @@
         seq: packet.seq,
         data: packet.data.clone(),
     };
-    admit_request(state, now, work)
+    work::admit(state, now, work, packet)
 }
 
 fn open_flow(
@@ -382,6 +378,7 @@
                 token: packet.token,
                 is_open: false,
                 last_request: None,
+                is_acknowledged: false,
                 is_closed: false,
             };
             state.servers[server].flows.insert(packet.from, flow);
@@ -391,74 +388,3 @@
     let answer = reply_to(SYN | ACK, packet).with_seq_ack_token(number, packet.seq, packet.token);
     Some(answer.with_checksum())
 }
-
-/// Starts to execute a request, queues it, or rejects it if the queue is full.
-fn admit_request(state: &mut State, now: Time, work: Work) -> Option<Action> {
-    let server_state = &mut state.servers[work.server];
-    if server_state.running < CONCURRENCY_MAX {
-        record_execution(state, now, &work);
-        return Some(Action::Execute(work));
-    }
-    if server_state.queued.len() < QUEUE_MAX {
-        server_state.queued.push_back(work);
-        return None;
-    }
-    let text = b"not run".to_vec();
-    let flow = server_state.flows.get_mut(&work.caller)?;
-    flow.last_request = Some((work.seq, Some(text.clone())));
-    answer_packet(server_state, work.caller, work.service, work.seq, text).map(Action::Send)
-}
-
-fn record_execution(state: &mut State, now: Time, work: &Work) {
-    let server_state = &mut state.servers[work.server];
-    server_state.running += 1;
-    server_state.executed += 1;
-    if let Some(request) = non_idempotent_id(&work.data) {
-        let runs = state.executions.entry(request).or_default();
-        *runs += 1;
-        if *runs > 1 {
-            let what = format!("request {request} was executed {runs} times");
-            state.record_breach(now, Promise::Twice, what);
-        }
-    }
-}
-
-/// Ends the execution of a request. Returns the packet of its answer and the next queued request.
-/// Both are `None` if the server has restarted or stopped since it accepted the request.
-fn complete_request(state: &mut State, now: Time, work: &Work) -> (Option<Packet>, Option<Work>) {
-    let server_state = &mut state.servers[work.server];
-    if server_state.incarnation != work.incarnation || server_state.status == Status::Stopped {
-        return (None, None);
-    }
-    server_state.running -= 1;
-    let text = answer(&work.data);
-    if let Some(flow) = server_state.flows.get_mut(&work.caller) {
-        flow.last_request = Some((work.seq, Some(text.clone())));
-    }
-    let answer = match server_state.is_responsive() {
-        true => answer_packet(server_state, work.caller, work.service, work.seq, text),
-        false => None,
-    };
-    let next = server_state.queued.pop_front();
-    if let Some(next) = &next {
-        record_execution(state, now, next);
-    }
-    (answer, next)
-}
-
-/// Makes the packet of an answer. A draining server closes each flow with the answer.
-fn answer_packet(
-    server_state: &mut Server,
-    caller: SocketAddrV4,
-    service: SocketAddrV4,
-    seq: u32,
-    text: Vec<u8>,
-) -> Option<Packet> {
-    let is_draining = matches!(server_state.status, Status::Draining(_));
-    let flow = server_state.flows.get_mut(&caller)?;
-    flow.is_closed |= is_draining;
-    let flags = if is_draining { ACK | FIN } else { ACK };
-    let packet =
-        Packet::new(flags, service, caller).with_seq_ack_token(flow.number, seq, flow.token);
-    Some(packet.with_data(text).with_checksum())
-}
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -130,6 +130,12 @@
     pub sent: Time,
     /// How it ended.
     pub outcome: Outcome,
+    /// How long it took.
+    pub took: Span,
+    /// Its route.
+    pub route: u8,
+    /// The balancer that the fabric selected for its first attempt.
+    pub via: Option<usize>,
 }
 
 /// A flow whose caller completed the handshake with a server.
@@ -173,6 +179,14 @@
     pub flow_numbers: BTreeMap<u32, (usize, u32)>,
     /// How often each request that is not idempotent was executed.
     pub executions: BTreeMap<u64, u32>,
+    /// Callers' addresses of flows of which an opening packet reached a server.
+    pub forwarded: BTreeSet<std::net::SocketAddrV4>,
+    /// Whether the run has loads.
+    pub has_loads: bool,
+    /// Start and end of the latest crowd.
+    pub crowd: Option<(Time, Time)>,
+    /// What callers met during loads, for the report.
+    pub load_results: Vec<String>,
     /// Requests that ended.
     pub completed: Vec<CompletedRequest>,
     /// Promises that were broken.
@@ -205,6 +219,10 @@
             open_flows: BTreeMap::new(),
             flow_numbers: BTreeMap::new(),
             executions: BTreeMap::new(),
+            forwarded: BTreeSet::new(),
+            has_loads: false,
+            crowd: None,
+            load_results: Vec::new(),
             completed: Vec::new(),
             breaches: Vec::new(),
             next_flow_number: 0,
@@ -271,6 +289,12 @@
         self.link_last_fault[to][from] = now;
     }
 
+    /// Returns whether there is a crowd, or there was one less than `span` ago.
+    pub fn had_crowd(&self, now: Time, span: Span) -> bool {
+        self.crowd
+            .is_some_and(|(from, to)| now >= from && now < to + span)
+    }
+
     /// Returns the pool of a route, also of one that was removed.
     pub fn pool_of(&self, route: u8) -> Option<usize> {
         self.routes.get(&route).map(|route| route.pool)
--- a/crates/soak/tests/parts.rs
+++ b/crates/soak/tests/parts.rs
@@ -7,10 +7,14 @@
 use proptest::prelude::*;
 use soak::address::Addresses;
 use soak::checker::Promise;
+use soak::operator::PRIORITY_POOL;
+use soak::operator::PRIORITY_ROUTES;
 use soak::plan;
 use soak::server::Server;
 use soak::server::Status;
+use soak::world::CompletedRequest;
 use soak::world::OpenFlow;
+use soak::world::Outcome;
 use soak::world::Route;
 use soak::world::State;
 use soak::world::World;
@@ -164,6 +168,49 @@
     }
 }
 
+fn refuse_after(millis: u64) -> impl FnOnce(&mut State, Time) {
+    move |state, now| {
+        let caller = Addresses::new(0).caller(0);
+        state.check_refusal_time(now + Span::millis(millis), caller, now, 0);
+    }
+}
+
+/// Records requests of a crowd: 100 urgent and 100 less urgent ones during it, of which this many are
+/// served, and 100 before and after it.
+fn end_crowd(urgent: usize, less_urgent: usize, after: usize) -> impl FnOnce(&mut State, Time) {
+    move |state, now| {
+        let (from, to) = (ago(now, 20), ago(now, 12));
+        let (first, second) = PRIORITY_ROUTES;
+        for route in [first, second] {
+            state
+                .routes
+                .insert(route, Route::new(PRIORITY_POOL, ago(now, 60)));
+        }
+        let phases = [
+            (from - Span::secs(1), first, 100),
+            (from + Span::secs(2), first, urgent),
+            (from + Span::secs(2), second, less_urgent),
+            (to + Span::secs(3), first, after),
+        ];
+        for (sent, route, served) in phases {
+            state
+                .completed
+                .extend((0..100).map(|number| CompletedRequest {
+                    sent,
+                    outcome: if number < served {
+                        Outcome::Served
+                    } else {
+                        Outcome::Refused
+                    },
+                    took: Span::millis(20),
+                    route,
+                    via: Some(0),
+                }));
+        }
+        state.check_crowd(now, from, to, true);
+    }
+}
+
 cases! {
     new_flow_at_server_of_its_pool: |_, _| (), new_flow => [];
     new_flow_at_server_of_another_pool: |state, _| state.servers[0].pool = 1, new_flow => [Promise::Route];
@@ -188,6 +235,20 @@
     refusal_on_new_route: |state, now| {
         state.routes.get_mut(&ROUTE).expect("the route exists").added = ago(now, 2);
     }, refuse => [];
+    refusal_during_a_crowd_on_its_pool: |state, now| {
+        state.crowd = Some((now, now));
+        state.routes.insert(ROUTE, Route::new(PRIORITY_POOL, ago(now, 60)));
+        state.servers.iter_mut().for_each(|server| server.pool = PRIORITY_POOL);
+    }, refuse => [];
+    refusal_during_a_crowd_on_another_pool: |state, now| state.crowd = Some((now, now)), refuse => [Promise::Config];
+    refusal_in_time: |_, _| (), refuse_after(250) => [];
+    late_refusal: |_, _| (), refuse_after(251) => [Promise::Refusal];
+    late_refusal_of_a_forwarded_flow: |state, _| {
+        state.forwarded.insert(Addresses::new(0).caller(0));
+    }, refuse_after(251) => [];
+    crowd_with_urgent_requests_first: |_, _| (), end_crowd(98, 40, 100) => [];
+    crowd_with_less_urgent_requests_first: |_, _| (), end_crowd(40, 98, 100) => [Promise::Priority];
+    crowd_without_recovery: |_, _| (), end_crowd(98, 40, 50) => [Promise::Service];
     reset_of_open_flow: |_, _| (), reset => [Promise::Flow];
     reset_after_server_restart: |state, _| state.servers[0].incarnation = 1, reset => [];
     reset_after_server_fault: |state, now| state.servers[0].last_fault = now, reset => [];
