soak: a host's link that is full of uploads

Cause: no host of the soak test had a limited link, so nothing showed whether open flows and other hosts suffer when one is full.

- `link`: what a balancer's host receives (callers' packets, frames) and sends (packets to servers, frames) is limited to 1 Mbit/s in each direction for at least 2 s.
A datagram waits at most 50 ms and is lost otherwise.
Meanwhile half of the requests of its domain's callers are uploads of 20,000 bytes in 17 packets, up to 16 in flight.
Route 4 has the kind `upload`; in runs with loads its requests are uploads at all times.
- The time bounds do not apply to the host meanwhile, since frames to it are lost.
Resets of its open flows remain breaches.
- Promise `Service`: 95% of the requests that begin at other hosts are served, if nothing else disturbed the run.
- Promise `Priority` is stricter in a crowd that nothing else disturbs: at most half as large a share of the urgent requests as of the less urgent ones misses its target.

The balancers' settings do not give the link's rate: this build has no setting for it.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -2,6 +2,7 @@
 //! failed requests on new flows.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::sync::atomic::AtomicU16;
 use std::sync::atomic::Ordering;
@@ -20,6 +21,7 @@
 use crate::checker::Promise;
 use crate::fabric;
 use crate::server;
+use crate::world::Direction;
 use crate::world::World;
 use stub::packet::Packet;
 use stub::packet::ACK;
@@ -39,6 +41,11 @@
 const RETRANSMIT_MIN: Duration = Duration::from_millis(200);
 /// Longest time before a retransmission of data.
 const RETRANSMIT_MAX: Duration = Duration::from_millis(1_600);
+/// Parts of an upload before the request: with it, 20,000 bytes. A caller has at most 16 packets in
+/// flight.
+const UPLOAD_PARTS: u32 = 16;
+/// Data bytes of each part.
+const UPLOAD_PART_BYTES: usize = 1_200;
 /// Port of the first flow of an endpoint.
 const FIRST_PORT: u16 = 1_024;
 /// Largest datagram, in bytes.
@@ -140,12 +147,25 @@
             let balancer = fabric::select_balancer(state, self.domain, packet.from);
             (balancer, state.draw_loss())
         });
-        if !is_lost {
+        let packet = packet.encode();
+        let delay = match is_lost {
+            true => None,
+            false => self.world.host_delay(balancer, Direction::In, packet.len()),
+        };
+        if let Some(delay) = delay {
             let to = self.world.addresses.entry(balancer);
-            // A packet to a balancer that is not running is lost, as on any network.
-            let _ = self.socket.send_to(&packet.encode(), to).await;
+            let socket = self.socket.clone();
+            let send = async move {
+                tokio::time::sleep(delay).await;
+                // A packet to a balancer that is not running is lost, as on any network.
+                let _ = socket.send_to(&packet, to).await;
+            };
+            match delay {
+                Duration::ZERO => send.await,
+                _ => drop(tokio::spawn(send)),
+            }
         }
-        (balancer, !is_lost)
+        (balancer, delay.is_some())
     }
 
     /// Opens a flow. Returns whether a server answered.
@@ -221,6 +241,37 @@
         Reply::TimedOut
     }
 
+    /// Uploads the body of a request in parts. Returns the reply if the attempt ended early.
+    async fn upload(&self, flow: &mut Flow, until: Instant) -> Option<Reply> {
+        let first = flow.seq + 1;
+        flow.seq += UPLOAD_PARTS;
+        let mut unacknowledged: BTreeSet<u32> = (first..=flow.seq).collect();
+        let mut wait = RETRANSMIT_MIN;
+        while Instant::now() < until {
+            for &seq in &unacknowledged {
+                let packet = Packet::new(ACK, flow.caller, flow.service);
+                let packet = packet.with_seq_ack_token(seq, flow.received, flow.token);
+                let part = [server::UPLOAD_PART; UPLOAD_PART_BYTES].to_vec();
+                self.send(packet.with_data(part).with_checksum()).await;
+            }
+            let resend_at = until.min(Instant::now() + wait);
+            while let Some(packet) = self.recv(flow, resend_at).await {
+                if packet.flags & RST != 0 {
+                    self.check_reset(flow, &packet);
+                    return Some(Reply::Reset);
+                }
+                if packet.flags == ACK
+                    && unacknowledged.remove(&packet.ack)
+                    && unacknowledged.is_empty()
+                {
+                    return None;
+                }
+            }
+            wait = RETRANSMIT_MAX.min(wait * 2);
+        }
+        Some(Reply::TimedOut)
+    }
+
     /// Acknowledges an answer. Balancers see only callers' packets, so that this is how they learn
     /// that a server has answered.
     async fn acknowledge(&self, flow: &Flow) {
--- a/crates/soak/src/caller/request.rs
+++ b/crates/soak/src/caller/request.rs
@@ -10,8 +10,10 @@
 use super::Endpoint;
 use super::Flow;
 use super::Reply;
+use crate::address;
 use crate::fabric;
 use crate::operator::PRIORITY_ROUTES;
+use crate::operator::UPLOAD_ROUTE;
 use crate::world::CompletedRequest;
 use crate::world::Outcome;
 use crate::world::State;
@@ -24,6 +26,9 @@
 const PAUSE_MS: std::ops::Range<u64> = 40..400;
 /// Most requests on a long flow.
 const LONG_FLOW_REQUESTS: u32 = 20;
+/// Share of requests that are uploads while the link of a host of the domain is full. The others of
+/// a run with loads are those that draw the route of uploads.
+const UPLOADS: f64 = 0.5;
 /// Time between two probes of recently changed routes.
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two checks whether there is a crowd.
@@ -48,6 +53,8 @@
     service: SocketAddrV4,
     method: &'static str,
     id: u64,
+    /// Whether a body is uploaded first.
+    is_upload: bool,
     /// Whether its flow is kept for further requests.
     is_long: bool,
     /// When it must have been answered.
@@ -71,8 +78,14 @@
         }
         let (pause, is_non_idempotent, route) = endpoint.world.with(|state, _| {
             let pause = state.random.random_range(PAUSE_MS);
+            let mut links = (0..).zip(&state.links.hosts);
+            let has_full_link = links
+                .any(|(host, link)| link.is_some() && address::domain_of(host) == endpoint.domain);
             let route = match pattern {
                 Pattern::Crowd => draw_crowd_route(state),
+                Pattern::Short if has_full_link && state.random.random_bool(UPLOADS) => {
+                    UPLOAD_ROUTE
+                }
                 Pattern::Short | Pattern::Long => draw_route(state),
             };
             (pause, state.random.random_range(0..4) == 0, route)
@@ -83,6 +96,7 @@
             service: endpoint.world.addresses.service(route),
             method: if is_non_idempotent { "POST" } else { "GET" },
             id: caller << 24 | count,
+            is_upload: route == UPLOAD_ROUTE && endpoint.world.with(|state, _| state.has_loads),
             is_long: pattern == Pattern::Long,
             until: Instant::now() + DEADLINE,
             via: None,
@@ -162,11 +176,20 @@
             endpoint.remove_flow(&flow);
             continue;
         }
+        let early_end = match request.is_upload {
+            true => endpoint.upload(&mut flow, request.until).await,
+            false => None,
+        };
         let (method, id) = (request.method, request.id);
         let data = format!("{method} /{id} HTTP/1.1\r\nX-Request-Id: {id:x}-{attempt}\r\n\r\n");
-        let reply = endpoint
-            .send_request(&mut flow, data.as_bytes(), request.until)
-            .await;
+        let reply = match early_end {
+            Some(reply) => reply,
+            None => {
+                endpoint
+                    .send_request(&mut flow, data.as_bytes(), request.until)
+                    .await
+            }
+        };
         match reply {
             Reply::Served if request.is_long && used + 1 < LONG_FLOW_REQUESTS => {
                 *idle = Some((flow, used + 1))
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -107,12 +107,13 @@
     }
 
     /// Returns whether a balancer runs, and within [`SETTLE_TIME`] no fault affected it or the
-    /// platform and it was not stopped or started.
+    /// platform, it was not stopped or started and the link of its host was not full.
     pub fn is_settled(&self, balancer: usize, now: Time) -> bool {
         let balancer_state = &self.balancers[balancer];
         let last = balancer_state
             .last_fault
             .max(balancer_state.last_maintenance)
+            .max(balancer_state.last_full_link)
             .max(self.platform_last_fault);
         !balancer_state.is_down && now.since(last) >= SETTLE_TIME
     }
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -164,6 +164,7 @@
                     .await
             }
             Kind::Crowd => self.bring_crowd().await,
+            Kind::Link => self.fill_link(index, duration).await,
         }
     }
 
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -13,8 +13,10 @@
 use crate::operator::POOLS;
 use crate::operator::PRIORITY_POOL;
 use crate::operator::PRIORITY_TARGET;
+use crate::run::SERVED_MIN_PERCENT;
 use crate::server::Server;
 use crate::world::CompletedRequest;
+use crate::world::HostLink;
 use crate::world::Outcome;
 use crate::world::State;
 
@@ -26,6 +28,8 @@
 const LEVEL_TIME: Span = Span::secs(2);
 /// Difference of two shares of requests, in percent, that is due to chance.
 const MARGIN_PERCENT: usize = 5;
+/// Least time for which the link of a host is full: longer than it takes balancers to miss a peer.
+const LINK_MIN: Span = Span::secs(2);
 /// Time between two checks for faults during a load.
 const WATCH_INTERVAL: Duration = Duration::from_millis(50);
 /// Time after which the last requests of a load have ended: their deadline.
@@ -51,6 +55,16 @@
         }
     }
 
+    /// As [`Level::new`], of requests that were answered at any time.
+    fn of_served(state: &State, is_counted: impl Fn(&CompletedRequest) -> bool) -> Level {
+        let counted = state.completed.iter().filter(|request| is_counted(request));
+        let is_served = |request: &&CompletedRequest| request.outcome == Outcome::Served;
+        Level {
+            sent: counted.clone().count(),
+            on_target: counted.filter(is_served).count(),
+        }
+    }
+
     fn percent(self) -> usize {
         self.on_target * 100 / self.sent.max(1)
     }
@@ -87,11 +101,36 @@
         tokio::time::sleep(duration).await;
     }
 
-    /// Returns at `end` whether nothing disturbed the run, other than the balancer `except`.
-    async fn watch(&self, end: Time, except: Option<usize>) -> bool {
+    /// Limits the link of a balancer's host, unless it is limited, and checks what callers met.
+    pub(crate) async fn fill_link(&self, balancer: usize, duration: Duration) {
+        let has_started = self.world.with(|state, _| {
+            let link = &mut state.links.hosts[balancer];
+            link.is_none().then(|| *link = Some(HostLink::default()))
+        });
+        if has_started.is_none() {
+            return;
+        }
+        let from = self.world.now();
+        let to = from + Span(duration.as_micros() as u64) + LINK_MIN;
+        let is_calm = self.watch(to, Some(balancer)).await;
+        self.world
+            .with(|state, _| state.links.hosts[balancer] = None);
+        tokio::time::sleep(END_TIME).await;
+        self.world
+            .with(|state, now| state.check_full_link(now, from, to, balancer, is_calm));
+    }
+
+    /// Returns at `end` whether nothing disturbed the run. `host` is the balancer whose link is full;
+    /// it is not taken into account.
+    async fn watch(&self, end: Time, host: Option<usize>) -> bool {
         let mut is_calm = true;
         while self.world.now() < end {
-            is_calm &= self.world.with(|state, now| state.is_calm(now, except));
+            self.world.with(|state, now| {
+                is_calm &= state.is_calm(now, host);
+                if let Some(host) = host {
+                    state.balancers[host].last_full_link = now;
+                }
+            });
             tokio::time::sleep(WATCH_INTERVAL).await;
         }
         is_calm
@@ -114,6 +153,24 @@
 }
 
 impl State {
+    /// Checks that requests of other hosts were served while the link of one was full, if nothing
+    /// else disturbed the run.
+    pub fn check_full_link(&mut self, now: Time, from: Time, to: Time, host: usize, is_calm: bool) {
+        let served = |is_own: bool| {
+            Level::of_served(self, |request| {
+                (from..to).contains(&request.sent) && (request.via == Some(host)) == is_own
+            })
+        };
+        let (own, others) = (served(true), served(false));
+        let what = format!(
+            "full link of balancer {host}: served {own}, of others {others}, calm: {is_calm}"
+        );
+        if is_calm && others.percent() < SERVED_MIN_PERCENT {
+            self.record_breach(now, Promise::Service, what.clone());
+        }
+        self.load_results.push(what);
+    }
+
     /// Checks that urgent requests were served before less urgent ones during a crowd, and, if
     /// nothing else disturbed the run, that service was back to its previous level in time.
     pub fn check_crowd(&mut self, now: Time, from: Time, to: Time, is_calm: bool) {
@@ -138,7 +195,11 @@
         let what = format!(
             "crowd: urgent {urgent}, less urgent {other}, before {before}, after {after}, calm: {is_calm}"
         );
-        if urgent.percent() + MARGIN_PERCENT < other.percent() {
+        let (late, other_late) = (100 - urgent.percent(), 100 - other.percent());
+        let is_reversed = late > other_late + MARGIN_PERCENT;
+        // The servers can serve all urgent requests. Faults affect both kinds alike.
+        let is_equal = is_calm && late * 2 > other_late + MARGIN_PERCENT;
+        if is_reversed || is_equal {
             self.record_breach(now, Promise::Priority, what.clone());
         }
         if is_calm && after.percent() + MARGIN_PERCENT < before.percent() {
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -31,6 +31,8 @@
 pub const PRIORITY_TARGET: Span = Span::millis(1_500);
 /// The permanent route of that pool with urgent requests, and the one with less urgent ones.
 pub const PRIORITY_ROUTES: (u8, u8) = (1, 3);
+/// The permanent route with uploads.
+pub const UPLOAD_ROUTE: u8 = 4;
 /// Priority of the less urgent routes. Urgent ones have 0.
 pub const LESS_URGENT: u8 = 2;
 /// Delay before a failed write is retried.
@@ -172,6 +174,9 @@
             let shares = json!([{"pool": pool_name(pool), "weight": 1}]);
             let mut route =
                 json!({"address": address, "shares": shares, "priority": priority(number)});
+            if number == UPLOAD_ROUTE {
+                route["kind"] = "upload".into();
+            }
             if pool == PRIORITY_POOL {
                 route["target_ms"] = PRIORITY_TARGET.as_millis().into();
             }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -104,6 +104,8 @@
     Full,
     /// More callers send requests to the pool with priorities than its servers can serve.
     Crowd,
+    /// The link of a balancer's host is full of uploads.
+    Link,
 }
 
 /// A planned fault.
--- a/crates/soak/src/relay.rs
+++ b/crates/soak/src/relay.rs
@@ -17,6 +17,7 @@
 
 use crate::address;
 use crate::address::BALANCERS;
+use crate::world::Direction;
 use crate::world::PlatformLink;
 use crate::world::World;
 
@@ -57,6 +58,11 @@
         else {
             continue;
         };
+        let sent = world.host_delay(from, Direction::Out, length);
+        let Some(received) = sent.and_then(|_| world.host_delay(to, Direction::In, length)) else {
+            continue;
+        };
+        let delay = delay + sent.unwrap_or_default() + received;
         // Sends from the sender's relay socket, so that the receiver's answers pass the relay too.
         let (socket, frame) = (sockets[from].clone(), buffer[..length].to_vec());
         let at = world.addresses.peer_bind(to);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -38,7 +38,7 @@
 /// One of this many callers uses long flows, which stay open for many requests.
 const LONG_FLOW_EVERY: u64 = 3;
 /// Least share of requests that is served after the recovery time, in percent.
-const SERVED_MIN_PERCENT: usize = 95;
+pub const SERVED_MIN_PERCENT: usize = 95;
 /// Time after the last fault before requests count for that share.
 const RECOVERY_TIME: Span = Span::secs(6);
 /// Longest time until all balancers are in rotation at the start.
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -18,6 +18,7 @@
 use crate::checker::SETTLE_TIME;
 use crate::health;
 use crate::operator::PRIORITY_POOL;
+use crate::world::Direction;
 use crate::world::OpenFlow;
 use crate::world::State;
 use crate::world::World;
@@ -34,6 +35,9 @@
 
 /// Bytes of an answer. Balancers recognise a rejection by its size, which is far smaller.
 const ANSWER_BYTES: usize = 400;
+/// Byte that fills the parts of an upload. A server acknowledges them; their request follows once
+/// its caller has all acknowledgements.
+pub const UPLOAD_PART: u8 = b'#';
 /// Range of the time to execute a request, in milliseconds.
 const WORK_MS: std::ops::Range<u64> = 5..30;
 /// Factor on the time to execute a request at a slow server.
@@ -205,15 +209,25 @@
         if world.datagram_delay(there, here).is_none() {
             continue;
         }
-        let reply = world.with(|state, now| {
-            let server = state.server_at[address]?;
-            let server_state = &state.servers[server];
-            // Identity 0 means any server.
-            let is_recipient = identity == 0 || identity == server_state.identity;
-            (server_state.is_responsive() && is_recipient)
-                .then(|| handle_packet(state, now, server, &packet, via))?
-        });
-        perform_action(&world, &socket, reply).await;
+        let delay = via.map(|via| world.host_delay(via, Direction::Out, length));
+        let (world, socket) = (world.clone(), socket.clone());
+        let receive = |delay| async move {
+            tokio::time::sleep(delay).await;
+            let reply = world.with(|state, now| {
+                let server = state.server_at[address]?;
+                let server_state = &state.servers[server];
+                // Identity 0 means any server.
+                let is_recipient = identity == 0 || identity == server_state.identity;
+                (server_state.is_responsive() && is_recipient)
+                    .then(|| handle_packet(state, now, server, &packet, via))?
+            });
+            perform_action(&world, &socket, reply).await;
+        };
+        match delay.unwrap_or(Some(Duration::ZERO)) {
+            Some(Duration::ZERO) => receive(Duration::ZERO).await,
+            Some(delay) => drop(tokio::spawn(receive(delay))),
+            None => (),
+        }
     }
 }
 
@@ -324,6 +338,9 @@
     if packet.data.is_empty() || !flow.is_open {
         return None;
     }
+    if packet.data[0] == UPLOAD_PART {
+        return Some(Action::Send(acknowledge(flow.number, packet)));
+    }
     let last = flow
         .last_request
         .clone()
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -38,6 +38,40 @@
     Reset,
 }
 
+/// Bytes per second of a host's full link in each direction, 1 Mbit/s. The smallest of the users'
+/// hosts have 10 Mbit/s, and several hundred callers each.
+const LINK_BYTES_PER_S: u64 = 125_000;
+/// Longest time that a datagram waits at a host's link; those that would wait longer are lost.
+const LINK_QUEUE: Span = Span::millis(50);
+
+/// Direction of a datagram on a host's link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    /// To the host.
+    In,
+    /// From the host.
+    Out,
+}
+
+/// The limited link of a host: when it has carried what it was given so far, by direction.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HostLink {
+    free_at: [Time; 2],
+}
+
+impl HostLink {
+    /// Returns how long a datagram takes that is sent at `now`, or `None` if it is lost.
+    pub fn delay(&mut self, now: Time, direction: Direction, bytes: usize) -> Option<Span> {
+        let free_at = &mut self.free_at[direction as usize];
+        let start = now.max(*free_at);
+        if start.since(now) > LINK_QUEUE {
+            return None;
+        }
+        *free_at = start + Span(bytes as u64 * Span::secs(1).0 / LINK_BYTES_PER_S);
+        Some(free_at.since(now))
+    }
+}
+
 /// State of the network links of a run.
 #[derive(Clone, Debug)]
 pub struct Links {
@@ -45,6 +79,8 @@
     pub platform: [PlatformLink; BALANCERS],
     /// Connections to the platform that were opened before this time stay stalled.
     pub stalled_before: Time,
+    /// Link of each balancer's host, if it is limited.
+    pub hosts: [Option<HostLink>; BALANCERS],
     /// Ordered pairs (from, to) of failure domains between which no datagrams pass.
     pub partitioned: BTreeSet<(usize, usize)>,
     /// Datagrams lost, in 10,000.
@@ -59,6 +95,7 @@
         Links {
             platform: [PlatformLink::Healthy; BALANCERS],
             stalled_before: Time::default(),
+            hosts: [None; BALANCERS],
             partitioned: BTreeSet::new(),
             loss,
             delay_max: Duration::ZERO,
@@ -80,6 +117,8 @@
     pub failed_probes: u32,
     /// When a fault other than a planned stop or start last affected it.
     pub last_fault: Time,
+    /// When the link of its host was last full. Open flows are not excused by that.
+    pub last_full_link: Time,
     /// When it was last stopped or started as planned.
     pub last_maintenance: Time,
     /// Whether its process was told to stop, or was killed by a fault.
@@ -261,6 +300,14 @@
             Some(Duration::from_micros(delay))
         })
     }
+
+    /// Returns how long a datagram takes on the link of a balancer's host, or `None` if it is lost.
+    pub fn host_delay(&self, host: usize, way: Direction, bytes: usize) -> Option<Duration> {
+        self.with(|state, now| match &mut state.links.hosts[host] {
+            Some(link) => Some(Duration::from_micros(link.delay(now, way, bytes)?.0)),
+            None => Some(Duration::ZERO),
+        })
+    }
 }
 
 impl State {
--- a/crates/soak/tests/parts.rs
+++ b/crates/soak/tests/parts.rs
@@ -13,6 +13,8 @@
 use soak::server::Server;
 use soak::server::Status;
 use soak::world::CompletedRequest;
+use soak::world::Direction;
+use soak::world::HostLink;
 use soak::world::OpenFlow;
 use soak::world::Outcome;
 use soak::world::Route;
@@ -97,6 +99,29 @@
     assert_eq!(faults[7], "10625 ms pause 4 for 3358 ms");
 }
 
+/// Guards against a full link that carries more than its rate, or delays packets for longer than
+/// callers wait before they retransmit.
+#[test]
+fn full_link_loses_what_exceeds_its_queue() {
+    let mut link = HostLink::default();
+    let now = Time::default() + Span::secs(1);
+    let delays: Vec<Option<Span>> = (0..20)
+        .map(|_| link.delay(now, Direction::In, 1_250))
+        .collect();
+    assert_eq!(delays[0], Some(Span::millis(10)));
+    assert_eq!(delays[5], Some(Span::millis(60)));
+    assert!(delays[6..].iter().all(Option::is_none));
+    assert_eq!(
+        link.delay(now, Direction::Out, 1_250),
+        Some(Span::millis(10))
+    );
+    let later = now + Span::millis(60);
+    assert_eq!(
+        link.delay(later, Direction::In, 1_250),
+        Some(Span::millis(10))
+    );
+}
+
 /// Returns the breaches that `act` causes in a state with three servers, one route that was added
 /// long ago, and the changes of `prepare`.
 fn breaches_of(
@@ -211,6 +236,29 @@
     }
 }
 
+/// Records 100 requests each by a host with a full link and by another one, of which this many are
+/// served.
+fn end_full_link(own: usize, others: usize) -> impl FnOnce(&mut State, Time) {
+    move |state, now| {
+        for (via, served) in [(0, own), (1, others)] {
+            state
+                .completed
+                .extend((0..100).map(|number| CompletedRequest {
+                    sent: ago(now, 5),
+                    outcome: if number < served {
+                        Outcome::Served
+                    } else {
+                        Outcome::TimedOut
+                    },
+                    took: Span::millis(20),
+                    route: ROUTE,
+                    via: Some(via),
+                }));
+        }
+        state.check_full_link(now, ago(now, 6), ago(now, 4), 0, true);
+    }
+}
+
 cases! {
     new_flow_at_server_of_its_pool: |_, _| (), new_flow => [];
     new_flow_at_server_of_another_pool: |state, _| state.servers[0].pool = 1, new_flow => [Promise::Route];
@@ -248,7 +296,11 @@
     }, refuse_after(251) => [];
     crowd_with_urgent_requests_first: |_, _| (), end_crowd(98, 40, 100) => [];
     crowd_with_less_urgent_requests_first: |_, _| (), end_crowd(40, 98, 100) => [Promise::Priority];
+    crowd_without_an_order: |_, _| (), end_crowd(60, 60, 100) => [Promise::Priority];
     crowd_without_recovery: |_, _| (), end_crowd(98, 40, 50) => [Promise::Service];
+    full_link_that_stops_only_its_host: |_, _| (), end_full_link(10, 95) => [];
+    full_link_that_stops_other_hosts: |_, _| (), end_full_link(10, 94) => [Promise::Service];
+    reset_of_open_flow_with_a_full_link: |state, now| state.balancers[0].last_full_link = now, reset => [Promise::Flow];
     reset_of_open_flow: |_, _| (), reset => [Promise::Flow];
     reset_after_server_restart: |state, _| state.servers[0].incarnation = 1, reset => [];
     reset_after_server_fault: |state, now| state.servers[0].last_fault = now, reset => [];
