Settings: rate of the host's link, processor quota and bound of an evacuation

The balancer did not know what its host can carry, and the time after which open flows into a domain that is out are cut was fixed in the deploy template.

Nothing acts on the capacity yet.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -16,6 +16,7 @@
 //! - `opening`: opening packets: server selection, retransmissions and refusals.
 //! - `established`: packets of open flows, forwarded by route token.
 //! - `admission`: refusal of new flows by urgency while capacity is short.
+//! - `host`: the use of the host's link and processor.
 //! - `select`: load balancing: the backend server of a new flow.
 //! - `speed`: service times of backend servers, from their answers.
 //! - `health`: passive failure detection of backend servers, confirmed by health checks.
@@ -67,6 +68,7 @@
 pub mod feed;
 pub mod flow;
 pub mod health;
+pub mod host;
 pub mod load;
 pub mod loss;
 pub mod note;
--- a/crates/forward/src/setting.rs
+++ b/crates/forward/src/setting.rs
@@ -5,6 +5,7 @@
 use base::prelude::*;
 
 use crate::cold::RateLimit;
+use crate::host::Capacity;
 
 /// The settings of a balancer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -25,6 +26,8 @@
     pub out_after: Span,
     /// Bounds the duration of a planned stop.
     pub grace: Span,
+    /// The capacity of the host.
+    pub capacity: Capacity,
 }
 
 /// The default factor on the rate of cold servers, in percent.
@@ -32,6 +35,9 @@
 /// The default time until open flows into a failure domain that is out are cut: the domain has to
 /// receive no more packets a few seconds after the operator's change.
 pub const OUT_AFTER: Span = Span::secs(3);
+/// The longest time until an operator's change is in force on every balancer that is reached. Open
+/// flows into a failure domain that is out are cut this much before the operator's bound.
+pub const CHANGE_DELAY_MAX: Span = Span::secs(2);
 /// The default bound on the duration of a planned stop.
 pub const GRACE: Span = Span::secs(5);
 
@@ -55,6 +61,7 @@
             },
             out_after: OUT_AFTER,
             grace: GRACE,
+            capacity: Capacity::default(),
         }
     }
 
@@ -76,6 +83,12 @@
         self
     }
 
+    /// Sets the capacity of the host.
+    pub fn with_capacity(mut self, capacity: Capacity) -> Setting {
+        self.capacity = capacity;
+        self
+    }
+
     /// Sets the bound on the duration of a planned stop.
     pub fn with_grace(mut self, grace: Span) -> Setting {
         self.grace = grace;
--- a/crates/shell/src/packets/setting.rs
+++ b/crates/shell/src/packets/setting.rs
@@ -10,6 +10,8 @@
 
 use base::prelude::*;
 use forward::cold::RateLimit;
+use forward::host::Capacity;
+use forward::setting::CHANGE_DELAY_MAX;
 
 use crate::setting::Checker;
 use crate::setting::Fault;
@@ -21,6 +23,14 @@
 /// Largest accepted time, in milliseconds.
 const TIME_MS_MAX: u64 = 600_000;
 
+/// Largest accepted rate of the link, in Mbit/s.
+const LINK_MBPS_MAX: f64 = 1_000_000.0;
+/// Largest accepted quota of processor time, in cores.
+const CPU_QUOTA_MAX: f64 = 1_024.0;
+/// Smallest accepted rate of the link and quota of processor time: callers could not be served with
+/// less.
+const CAPACITY_MIN: f64 = 0.001;
+
 /// Settings before validation. `None` is a setting that was not given.
 #[derive(Clone, Debug, Default)]
 pub struct Raw {
@@ -48,8 +58,15 @@
     pub cold_slack: Option<String>,
     /// Time after which open flows into a failure domain that is out are cut, in milliseconds.
     pub out_after_ms: Option<String>,
+    /// Operator's bound on the time until no packet goes into a failure domain that is out, in
+    /// milliseconds. `out_after_ms` takes precedence.
+    pub out_within_ms: Option<String>,
     /// Longest duration of a planned stop, in milliseconds.
     pub grace_ms: Option<String>,
+    /// Rate of the host's link, in Mbit/s; 0 or empty if not known.
+    pub link_mbps: Option<String>,
+    /// Quota of processor time, in cores; 0 or empty if not known.
+    pub cpu_quota: Option<String>,
 }
 
 /// Validated settings.
@@ -92,7 +109,10 @@
         fill(&mut self.cold_overage, "WASABI_COLD_OVERAGE");
         fill(&mut self.cold_slack, "WASABI_COLD_SLACK");
         fill(&mut self.out_after_ms, "WASABI_OUT_AFTER_MS");
+        fill(&mut self.out_within_ms, "WASABI_OUT_WITHIN_MS");
         fill(&mut self.grace_ms, "WASABI_GRACE_MS");
+        fill(&mut self.link_mbps, "WASABI_LINK_MBPS");
+        fill(&mut self.cpu_quota, "WASABI_CPU_QUOTA");
         Ok(self)
     }
 }
@@ -147,11 +167,25 @@
             0.0..=COLD_OVERAGE_MAX,
         );
         let slack = checker.check_number("cold-slack", raw.cold_slack, 0, 0..=COLD_SLACK_MAX);
-        let out_after = forward::setting::OUT_AFTER.as_millis();
-        let out_after =
-            checker.check_number("out-after-ms", raw.out_after_ms, out_after, 0..=TIME_MS_MAX);
+        let given = |text: Option<String>| text.filter(|text| !text.trim().is_empty());
+        let out_after = given(raw.out_after_ms);
+        let has_out_after = out_after.is_some();
+        let default = forward::setting::OUT_AFTER.as_millis();
+        let out_after = checker.check_number("out-after-ms", out_after, default, 0..=TIME_MS_MAX);
+        let out_within = given(raw.out_within_ms);
+        let delay = CHANGE_DELAY_MAX.as_millis();
+        let default = out_after + delay;
+        let range = delay..=TIME_MS_MAX + delay;
+        let out_within = checker.check_number("out-within-ms", out_within, default, range);
+        let out_after = match has_out_after {
+            true => out_after,
+            false => out_within - delay,
+        };
         let grace = forward::setting::GRACE.as_millis();
         let grace = checker.check_number("grace-ms", raw.grace_ms, grace, 1..=TIME_MS_MAX);
+        let link = checker.check_capacity("link-mbps", given(raw.link_mbps), LINK_MBPS_MAX);
+        let cores = checker.check_capacity("cpu-quota", given(raw.cpu_quota), CPU_QUOTA_MAX);
+        let capacity = Capacity::default().with_link_mbps(link).with_cores(cores);
         let peer = Peer {
             datagram: peer,
             stream: peer,
@@ -164,7 +198,8 @@
             .with_seeds(seeds)
             .with_cold(cold)
             .with_out_after(Span::millis(out_after))
-            .with_grace(Span::millis(grace));
+            .with_grace(Span::millis(grace))
+            .with_capacity(capacity);
         let setting = Setting {
             entry,
             peer_bind,
@@ -193,6 +228,19 @@
     }
 }
 
+impl Checker {
+    /// Returns a capacity of the host; 0 if it is not known.
+    fn check_capacity(&mut self, flag: &'static str, value: Option<String>, max: f64) -> f64 {
+        let text = value.as_deref().unwrap_or("0").trim().to_owned();
+        let capacity = self.check_number(flag, value.map(|_| text.clone()), 0.0, 0.0..=max);
+        if capacity > 0.0 && capacity < CAPACITY_MIN {
+            let least = format!("`{text}` is less than {CAPACITY_MIN}; 0 is not known");
+            self.add_fault(flag, least);
+        }
+        capacity
+    }
+}
+
 /// Parses an IP address with or without a port, which is ignored.
 pub(crate) fn parse_host(text: &str) -> Option<IpAddr> {
     let with_port = text.parse::<SocketAddr>().map(|address| address.ip());
--- a/crates/shell/src/setting.rs
+++ b/crates/shell/src/setting.rs
@@ -190,7 +190,7 @@
         }
     }
 
-    fn add_fault(&mut self, flag: &'static str, text: impl Into<String>) {
+    pub(crate) fn add_fault(&mut self, flag: &'static str, text: impl Into<String>) {
         self.faults.push(Fault {
             code: Code::BadSetting,
             flag,
--- a/crates/shell/tests/packets.rs
+++ b/crates/shell/tests/packets.rs
@@ -217,6 +217,103 @@
     assert!(Raw::default().with_file("no setting").is_err());
 }
 
+fn read_with(line: &str) -> Result<Setting, Vec<String>> {
+    let text = format!("{FILE}{line}");
+    let raw = Raw::default().with_file(&text).expect("well formed");
+    Setting::new(raw).map_err(|faults| faults.iter().map(ToString::to_string).collect())
+}
+
+/// Defines a test for the capacity that lines of the settings file give.
+macro_rules! capacities {
+    ($($name:ident: $lines:literal => $link:expr, $processor:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let capacity = read_with($lines).expect("no faults").forward.capacity;
+                let found = (capacity.link.map(u64::from), capacity.processor.map(u64::from));
+                assert_eq!(found, ($link, $processor));
+            }
+        )*
+    };
+}
+
+capacities! {
+    a_capacity_that_is_not_given_is_not_known: "" => None, None;
+    an_empty_capacity_is_not_known: "WASABI_LINK_MBPS=\nWASABI_CPU_QUOTA= " => None, None;
+    a_capacity_of_zero_is_not_known: "WASABI_LINK_MBPS=0\nWASABI_CPU_QUOTA=0.0" => None, None;
+    a_whole_capacity_is_read: "WASABI_LINK_MBPS=10\nWASABI_CPU_QUOTA=1" => Some(1_250_000), Some(1_000_000);
+    a_decimal_capacity_is_read: "WASABI_LINK_MBPS=2.5\nWASABI_CPU_QUOTA=0.084" => Some(312_500), Some(84_000);
+}
+
+/// Defines a test for the cut of open flows that lines of the settings file give, in milliseconds.
+macro_rules! cuts {
+    ($($name:ident: $lines:literal => $cut:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let setting = read_with($lines).expect("no faults");
+                assert_eq!(setting.forward.out_after.as_millis(), $cut);
+            }
+        )*
+    };
+}
+
+cuts! {
+    without_a_bound_the_cut_has_its_default: "" => 3_000;
+    the_cut_comes_before_the_operators_bound: "WASABI_OUT_WITHIN_MS=8000" => 6_000;
+    the_cut_takes_precedence_over_the_bound: "WASABI_OUT_WITHIN_MS=8000\nWASABI_OUT_AFTER_MS=2500" => 2_500;
+    an_empty_cut_does_not_hide_the_bound: "WASABI_OUT_WITHIN_MS=8000\nWASABI_OUT_AFTER_MS=" => 6_000;
+}
+
+/// Defines a test for each wrong setting, with the text of its fault.
+macro_rules! wrong_settings {
+    ($($name:ident: $line:literal => $text:literal;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let faults = read_with($line).expect_err("a fault");
+                assert_eq!(faults.len(), 1, "{faults:?}");
+                assert!(faults[0].contains($text), "{faults:?}");
+            }
+        )*
+    };
+}
+
+wrong_settings! {
+    a_negative_link: "WASABI_LINK_MBPS=-1" => "link-mbps: `-1` is not a number from 0 to 1000000";
+    a_link_with_a_unit: "WASABI_LINK_MBPS=10M" => "link-mbps: `10M` is not a number";
+    a_link_that_is_no_number: "WASABI_LINK_MBPS=NaN" => "link-mbps: `NaN` is not a number";
+    an_infinite_quota: "WASABI_CPU_QUOTA=inf" => "cpu-quota: `inf` is not a number from 0 to 1024";
+    a_quota_that_rounds_to_nothing: "WASABI_CPU_QUOTA=0.0000001" => "cpu-quota: `0.0000001` is less than 0.001";
+    a_bound_that_no_change_can_meet: "WASABI_OUT_WITHIN_MS=1500" => "out-within-ms: `1500` is not a number from 2000 to 602000";
+    a_wrong_bound_beside_a_cut: "WASABI_OUT_AFTER_MS=2500\nWASABI_OUT_WITHIN_MS=x" => "out-within-ms: `x`";
+}
+
+/// The template's values reach the settings: an empty or misspelt line would leave them unset.
+#[test]
+fn the_deployments_settings_template_names_known_settings() {
+    let template = include_str!("../../../deploy/settings.env");
+    let value = |name: &str| match name {
+        "limits.bandwidthMbps" => "10",
+        "limits.cpuQuota" => "0.084",
+        "bounds.evacuateMs" => "5000",
+        _ => "",
+    };
+    let mut text = String::new();
+    for line in template.lines().filter(|line| line.contains("{{")) {
+        let name = line.split(&['{', '}'][..]).find(|part| part.contains('.'));
+        if let Some(value) = name.map(value).filter(|value| !value.is_empty()) {
+            let (setting, _) = line.split_once('=').expect("NAME=value");
+            text.push_str(&format!("{setting}={value}\n"));
+        }
+    }
+    let forward = read_with(&text).expect("no faults").forward;
+    let link = forward.capacity.link.map(u64::from);
+    let processor = forward.capacity.processor.map(u64::from);
+    assert_eq!((link, processor), (Some(1_250_000), Some(84_000)));
+    assert_eq!(forward.out_after, Span::secs(3));
+}
+
 #[test]
 fn changes_that_need_a_restart_are_listed() {
     let read = |text: &str| {
--- a/crates/wasabid/src/flag.rs
+++ b/crates/wasabid/src/flag.rs
@@ -170,7 +170,13 @@
         "out-after-ms",
         "WASABI_OUT_AFTER_MS",
         "MS",
-        "time after which open flows into a failure domain that is out are cut [default: 3000]",
+        "time after which open flows into a failure domain that is out are cut; overrides --out-within-ms [default: 3000]",
+    );
+    let out_within_ms = text_flag(
+        "out-within-ms",
+        "WASABI_OUT_WITHIN_MS",
+        "MS",
+        "bound on the time until no packet goes into a failure domain that is out: open flows are cut 2000 ms before it [default: 5000]",
     );
     let grace_ms = text_flag(
         "grace-ms",
@@ -178,6 +184,18 @@
         "MS",
         "longest duration of a planned stop [default: 5000]",
     );
+    let link_mbps = text_flag(
+        "link-mbps",
+        "WASABI_LINK_MBPS",
+        "MBPS",
+        "rate of the host's link in Mbit/s, such as `10` or `2.5`; 0 or empty is not known [default: 0]",
+    );
+    let cpu_quota = text_flag(
+        "cpu-quota",
+        "WASABI_CPU_QUOTA",
+        "CORES",
+        "processor time that the process may use, in cores, such as `0.25`; 0 or empty is not known [default: 0]",
+    );
     let raw = construct!(packets::Raw {
         name,
         domain,
@@ -191,7 +209,10 @@
         cold_overage,
         cold_slack,
         out_after_ms,
+        out_within_ms,
         grace_ms,
+        link_mbps,
+        cpu_quota,
     });
     construct!(dialect, settings, raw)
         .map(|(dialect, settings, raw)| Command::Forward(dialect, settings, Box::new(raw)))
