forward: use of the host's link and processor, and refusal while one is short

A host with 10 Mbit/s got the same uploads as one with 200, and packets beyond its link were lost, those of open flows and urgent requests too.

host::Link and host::Processor report the use over 200 and 500 ms. host::Gate refuses the share of new flows that exceeds 85% (E314), uploads first if the link is short, then the least urgent priority, at most 90% of all. The memory of refused flows moves out of admission control into a module that both use. Body::HostUse and host::Readiness decide whether a host that stays full reports not ready; their tests follow.

--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -7,7 +7,6 @@
 //! capacity of its failure domain by the number of live balancers there.
 
 use std::collections::BTreeMap;
-use std::collections::VecDeque;
 use std::fmt;
 use std::net::SocketAddrV4;
 
@@ -20,6 +19,7 @@
 use limit::share::PRIORITIES;
 
 use crate::load::Loads;
+use crate::refusal::Refusals;
 use crate::table::row::Row;
 use crate::table::Table;
 
@@ -54,11 +54,6 @@
 /// How long a balancer that has lost all others of its failure domain shares the capacity with as
 /// many as before. Operators replace a lost host within this time.
 const ISOLATION_PERIOD: Span = Span::secs(60);
-/// How long a refused flow is remembered. A caller sends no copy of an opening packet later than
-/// 600 ms after the first, and abandons the attempt after 1.4 s.
-const REFUSAL_RETENTION: Span = Span::millis(1_500);
-/// Bounds the number of remembered refusals. A balancer refuses some hundred flows per second.
-const REFUSALS_MAX: usize = 4_096;
 /// Bounds the number of routes whose usual answers are remembered.
 const ROUTES_MAX: usize = 4_096;
 
@@ -172,10 +167,8 @@
     pools: SecondaryMap<key::Pool, Pool>,
     /// The smoothed size of an answer on each route.
     usual_answers: BTreeMap<SocketAddrV4, Mean>,
-    /// When flows were refused, by their hashes.
-    refused: BTreeMap<u64, Time>,
-    /// The same with the times, in order.
-    refusals: VecDeque<(Time, u64)>,
+    /// The flows that were refused a short while ago.
+    refused: Refusals,
 }
 
 impl Bucket {
@@ -292,29 +285,14 @@
             return Decision::Admitted(basis);
         }
         pool.refused_at[index] = Some(now);
-        self.remember_refusal(now, flow);
+        self.refused.insert(now, flow);
         Decision::Refused(basis)
     }
 
     /// Returns whether a flow was refused a short while ago, so that this is a copy of its opening
     /// packet.
     pub fn is_refused(&self, now: Time, flow: u64) -> bool {
-        // Entries are only removed by later refusals, and a caller may use the flow's ports again.
-        let refused_at = self.refused.get(&flow);
-        refused_at.is_some_and(|&at| now.since(at) <= REFUSAL_RETENTION)
-    }
-
-    fn remember_refusal(&mut self, now: Time, flow: u64) {
-        while self.refusals.front().is_some_and(|&(at, _)| {
-            now.since(at) > REFUSAL_RETENTION || self.refusals.len() >= REFUSALS_MAX
-        }) {
-            if let Some((_, expired)) = self.refusals.pop_front() {
-                self.refused.remove(&expired);
-            }
-        }
-        if self.refused.insert(flow, now).is_none() {
-            self.refusals.push_back((now, flow));
-        }
+        self.refused.contains(now, flow)
     }
 
     /// Returns the number of balancers that share the capacity of the failure domain. A balancer
--- a/crates/forward/src/count.rs
+++ b/crates/forward/src/count.rs
@@ -59,6 +59,16 @@
     Sent,
     /// Frames received from peers.
     Received,
+    /// Flows that were refused because the host's link or processor was short.
+    RefusedHost,
+    /// Packets that were held because the host's link was short.
+    PacedDelayed,
+    /// Packets that were dropped because the host's link was short for too long.
+    PacedDropped,
+    /// Times that this host reported not ready because its link or processor stayed full.
+    HostWithdrawn,
+    /// Frames about the use of hosts that were dropped because their sender may not send them.
+    HostUseRejected,
 }
 
 /// The counters, each since the start of the process.
@@ -83,6 +93,11 @@
         self.0[kind as usize] += 1;
     }
 
+    /// Adds several events to a counter.
+    pub fn add_many(&mut self, kind: Kind, count: u64) {
+        self.0[kind as usize] += count;
+    }
+
     /// Returns a counter.
     pub fn get(&self, kind: Kind) -> u64 {
         self.0[kind as usize]
--- a/crates/forward/src/established.rs
+++ b/crates/forward/src/established.rs
@@ -47,6 +47,7 @@
         return reset_flow(state, id, server, out);
     }
     state.counts.add(Kind::Passed);
+    state.record_host_packet(head);
     let forward = Verdict::Forward {
         target,
         token: None,
--- a/crates/forward/src/event.rs
+++ b/crates/forward/src/event.rs
@@ -9,6 +9,7 @@
 use wire::frame::Frame;
 
 use crate::health::Outcome;
+use crate::host::Sample;
 use crate::setting::Setting;
 
 /// An input of the reducer beside callers' packets.
@@ -61,4 +62,6 @@
     Setting(Box<Setting>),
     /// Start a planned stop, which ends without loss of flows.
     Stop,
+    /// What the process has used of its host. Due with each tick if the host's capacity is known.
+    HostUse(Sample),
 }
--- /dev/null
+++ b/crates/forward/src/host/processor.rs
@@ -0,0 +1,71 @@
+//! The use of the host's processor.
+
+use std::num::NonZeroU64;
+
+use base::prelude::*;
+
+use super::window::Windows;
+
+/// The length of a window. Reads of the store and checks take some milliseconds of a core several
+/// times per second, which is 5% of this window with a quota of 0.1 cores.
+pub const WINDOW: Span = Span::millis(500);
+/// The number of windows that utilization is the mean of.
+pub(super) const WINDOWS: usize = 1;
+
+/// The processor time of the process, against its quota.
+#[derive(Clone, Debug)]
+pub struct Processor {
+    windows: Windows<WINDOWS>,
+    /// The longest delay of a tick in the current window and in the last one.
+    delays: [Span; 2],
+}
+
+impl Default for Processor {
+    fn default() -> Processor {
+        Processor {
+            windows: Windows::new(WINDOW),
+            delays: [Span::ZERO; 2],
+        }
+    }
+}
+
+impl Processor {
+    /// Records the processor time that the process has used since its start, and by how much the
+    /// latest tick was late. Returns whether a window has ended.
+    ///
+    /// A time that could not be read makes the use unknown until a whole window has been seen again.
+    pub fn record(
+        &mut self,
+        now: Time,
+        used: Option<Span>,
+        tick_delay: Span,
+        quota: NonZeroU64,
+    ) -> bool {
+        self.delays[0] = self.delays[0].max(tick_delay);
+        let Some(used) = used else {
+            self.windows.clear();
+            return false;
+        };
+        let has_ended = self.windows.record(now, used.0, quota.get());
+        if has_ended {
+            self.delays = [Span::ZERO, self.delays[0]];
+        }
+        has_ended
+    }
+
+    /// Returns the use of the last window in percent; `None` if it is not known.
+    pub fn utilization(&self) -> Option<u32> {
+        self.windows.mean()
+    }
+
+    /// Returns whether the use of the last window exceeds a bound.
+    pub fn is_above(&self, percent: u32) -> bool {
+        self.windows.is_above(percent)
+    }
+
+    /// Returns the longest delay of a tick in the last window. A process that exceeds its quota is
+    /// not scheduled for a while, which delays its ticks.
+    pub fn tick_delay(&self) -> Span {
+        self.delays[1]
+    }
+}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -17,6 +17,7 @@
 //! - `established`: packets of open flows, forwarded by route token.
 //! - `admission`: refusal of new flows by urgency while capacity is short.
 //! - `host`: the use of the host's link and processor.
+//! - `refusal`: refused flows, whose further opening packets are refused too.
 //! - `select`: load balancing: the backend server of a new flow.
 //! - `speed`: service times of backend servers, from their answers.
 //! - `health`: passive failure detection of backend servers, confirmed by health checks.
@@ -78,6 +79,7 @@
 pub mod pressure;
 pub mod reach;
 pub mod recipient;
+pub mod refusal;
 pub mod role;
 pub mod select;
 pub mod setting;
--- a/crates/forward/src/note.rs
+++ b/crates/forward/src/note.rs
@@ -8,6 +8,7 @@
 use crate::admission;
 use crate::flow::Basis;
 use crate::flow::Id;
+use crate::host::Usage;
 
 /// A log record.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -248,6 +249,37 @@
     },
     /// New settings are in force.
     Reloaded,
+    /// A new flow was refused because the host's link or processor is short.
+    HostFull {
+        /// The flow.
+        flow: Id,
+        /// The priority of its route.
+        priority: u8,
+        /// Whether its route is for uploads.
+        is_upload: bool,
+        /// The share of such flows that is refused, in permille.
+        share: u32,
+        /// The use of the host.
+        usage: Usage,
+    },
+    /// The host reports not ready because its link or processor stays full, or no longer does.
+    HostReady {
+        /// Whether it is ready.
+        is_ready: bool,
+        /// The use of the host.
+        usage: Usage,
+        /// The number of other hosts of the failure domain that are short.
+        peers_above: usize,
+    },
+    /// Packets were held or dropped because the host's link is short, at most one record per second.
+    Paced {
+        /// The number of packets that were held since the last record.
+        delayed: u64,
+        /// The number of packets that were dropped since.
+        dropped: u64,
+        /// The use of the host.
+        usage: Usage,
+    },
 }
 
 impl fmt::Display for Note {
@@ -328,6 +360,22 @@
             },
             Note::Stopping { flows } => write!(f, "stopping with {flows} flows"),
             Note::Reloaded => f.write_str("settings reloaded"),
+            Note::HostFull {
+                flow, share, usage, ..
+            } => {
+                write!(f, "{flow}: refused with {share} permille, {usage}")
+            }
+            Note::HostReady {
+                is_ready, usage, ..
+            } => {
+                let state = if *is_ready { "ready" } else { "not ready" };
+                write!(f, "host {state}: {usage}")
+            }
+            Note::Paced {
+                delayed,
+                dropped,
+                usage,
+            } => write!(f, "{delayed} packets held, {dropped} dropped, {usage}"),
         }
     }
 }
--- a/crates/forward/src/opening.rs
+++ b/crates/forward/src/opening.rs
@@ -11,6 +11,7 @@
 use crate::flow::Flow;
 use crate::flow::Id;
 use crate::flow::Phase;
+use crate::host;
 use crate::note::Note;
 use crate::packet::Head;
 use crate::packet::Verdict;
@@ -45,10 +46,19 @@
         return refuse_flow(state, id, Code::NoService, out);
     };
     let (pool, priority) = (route.pool_for(id.hash()), route.priority);
+    let class = host::Class::new(route.kind, priority);
+    if state.host.gate().is_refused(state.now, id.hash()) {
+        state.counts.add(Kind::Copies);
+        return refuse_flow(state, id, Code::HostFull, out);
+    }
     if state.admission.is_refused(state.now, id.hash()) {
         state.counts.add(Kind::Copies);
         return refuse_flow(state, id, Code::Overloaded, out);
     }
+    if state.host.is_known() && !admit_to_host(state, id, class, out) {
+        return Verdict::Reset(Code::HostFull);
+    }
+    state.record_host_packet(head);
     if let Some(pool) = pool {
         if head.ack == 0 {
             state.demands.record_opening(state.now, pool, priority);
@@ -78,6 +88,24 @@
     }
 }
 
+/// Returns whether the host's link and processor admit a new flow. A flow of which another balancer
+/// had the first opening packet is decided on like any other.
+fn admit_to_host(state: &mut Forwarder, id: Id, class: host::Class, out: &mut Vec<Effect>) -> bool {
+    let gate = state.host.gate_mut();
+    if !gate.decide(state.now, class, id.hash()) {
+        return true;
+    }
+    state.counts.add(Kind::RefusedHost);
+    out.push(Effect::Note(Note::HostFull {
+        flow: id,
+        priority: class.priority(),
+        is_upload: class.is_upload(),
+        share: state.host.gate().share(class),
+        usage: state.host.usage(),
+    }));
+    false
+}
+
 /// Returns whether a new flow is admitted. Most are without any record; the others are decided by
 /// their priority's share of the pool's capacity.
 fn admit_flow(
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -105,6 +105,7 @@
         Body::Speeds(speeds) => state.apply_speeds(from, &speeds),
         Body::Demand(pools) => report::apply_demand(state, from, &pools),
         Body::DomainDemand(summary) => report::apply_summary(state, from, summary, out),
+        Body::HostUse(announced) => report::apply_host_use(state, from, announced),
         // The other frames are for the balancers of crate `node`, which relay callers' datagrams to
         // the owner of a backend server, or are fragments, which the driver reassembles.
         _ => (),
--- a/crates/forward/src/report.rs
+++ b/crates/forward/src/report.rs
@@ -8,6 +8,7 @@
 use wire::demand::DomainDemand;
 use wire::demand::PoolDemand;
 use wire::frame::Body;
+use wire::frame::HostUse;
 use wire::frame::LoadReport;
 
 use crate::check;
@@ -16,6 +17,8 @@
 use crate::established;
 use crate::exchange::Outgoing;
 use crate::health::Failures;
+use crate::host::readiness;
+use crate::host::Sample;
 use crate::load;
 use crate::note::Note;
 use crate::peer;
@@ -178,3 +181,70 @@
         peer::send_frame(state, to, body, out);
     }
 }
+
+/// Records what the process has used of its host, and what the pacer has done.
+pub(crate) fn observe_host(state: &mut Forwarder, sample: Sample, out: &mut Vec<Effect>) {
+    let before = state.host.latest();
+    state.host.observe(state.now, sample);
+    let delayed = sample.delayed.saturating_sub(before.delayed);
+    let dropped = sample.dropped.saturating_sub(before.dropped);
+    state.counts.add_many(count::Kind::PacedDelayed, delayed);
+    state.counts.add_many(count::Kind::PacedDropped, dropped);
+    if let Some((delayed, dropped)) = state.host.paced_to_log(state.now) {
+        let usage = state.host.usage();
+        out.push(Effect::Note(Note::Paced {
+            delayed,
+            dropped,
+            usage,
+        }));
+    }
+}
+
+/// Applies the use that another balancer of the failure domain announces of its host.
+pub(crate) fn apply_host_use(state: &mut Forwarder, from: Incarnation, announced: HostUse) {
+    let is_peer = peer::domain_peers(state).any(|member| member.incarnation == from);
+    match is_peer {
+        true => state.host.readiness_mut().apply(state.now, from, announced),
+        false => state.counts.add(count::Kind::HostUseRejected),
+    }
+}
+
+/// Reports the host as not ready, or as ready again, and announces its use to the failure domain.
+pub(crate) fn review_host(state: &mut Forwarder, out: &mut Vec<Effect>) {
+    if !state.host.is_known() {
+        return;
+    }
+    let now = state.now;
+    let peers: Vec<Incarnation> = peer::domain_peers(state)
+        .map(|member| member.incarnation)
+        .collect();
+    let view = readiness::View {
+        now,
+        domain: base::hash::bytes(state.setting.domain.as_bytes()),
+        me: state.incarnation(),
+        peers: &peers,
+    };
+    let usage = state.host.usage();
+    let readiness = state.host.readiness_mut();
+    let outcome = readiness.update(&view, usage.greatest());
+    let peers_above = readiness.peers_above(now);
+    if let Some(is_ready) = outcome.change {
+        if !is_ready {
+            state.counts.add(count::Kind::HostWithdrawn);
+        }
+        out.push(Effect::Note(Note::HostReady {
+            is_ready,
+            usage,
+            peers_above,
+        }));
+    }
+    let Some(announcement) = outcome.announcement else {
+        return;
+    };
+    let to: Vec<SocketAddr> = peer::domain_peers(state)
+        .map(|member| member.peer.datagram)
+        .collect();
+    for to in to {
+        peer::send_frame(state, to, Body::HostUse(announcement), out);
+    }
+}
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -1,6 +1,7 @@
 //! The reducer: its state, readiness, and the ownership of cold servers and checks.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddrV4;
 
 use base::prelude::*;
 use conf::key;
@@ -21,6 +22,8 @@
 use crate::flow::Flow;
 use crate::flow::Flows;
 use crate::flow::Id;
+use crate::host;
+use crate::host::Host;
 use crate::load;
 use crate::load::Loads;
 use crate::note::Note;
@@ -75,12 +78,15 @@
     /// When the last packet of a caller arrived.
     pub(crate) last_packet_at: Time,
     pub(crate) timers: tick::Timers,
+    /// The use of the host's link and processor.
+    pub(crate) host: Host,
 }
 
 impl Forwarder {
     /// Returns a balancer without any replicated state.
     pub fn new(setting: Setting, now: Time) -> Forwarder {
         let group = peer::new_group(&setting, now);
+        let host = Host::new(setting.capacity);
         let speeds = Speeds::default().with_balancer(group.local().incarnation);
         Forwarder {
             group,
@@ -107,6 +113,7 @@
             repeat_until: Time::default(),
             last_packet_at: now,
             timers: tick::Timers::new(now),
+            host,
         }
     }
 
@@ -146,6 +153,7 @@
             Event::Resumed(pause) => self.resume(pause, out),
             Event::Setting(setting) => self.reload(*setting, out),
             Event::Stop => self.stop(out),
+            Event::HostUse(sample) => report::observe_host(self, sample, out),
         }
     }
 
@@ -154,10 +162,13 @@
         self.table.has_routing() && self.feeds.are_synced()
     }
 
-    /// Returns whether the balancer can serve packets, is not stopping and is not isolated from the
-    /// backend servers.
+    /// Returns whether the balancer can serve packets, is not stopping, is not isolated from the
+    /// backend servers and has not withdrawn because its host is full.
     pub fn is_ready(&self) -> bool {
-        self.can_serve() && self.stopping_since.is_none() && !self.is_isolated()
+        self.can_serve()
+            && self.stopping_since.is_none()
+            && !self.is_isolated()
+            && !self.host.readiness().is_withdrawn()
     }
 
     /// Returns whether callers should use other balancers: operators have taken this failure domain
@@ -257,6 +268,28 @@
         (&mut self.exchange, &mut self.demands, view)
     }
 
+    /// Returns the use of the host's link and processor.
+    pub fn host(&self) -> &Host {
+        &self.host
+    }
+
+    /// Returns the class by which the host refuses the flows of a service address; `None` if no route
+    /// has the address.
+    pub(crate) fn host_class(&self, service: SocketAddrV4) -> Option<host::Class> {
+        let route = self.table.route(service)?;
+        Some(host::Class::new(route.kind, route.priority))
+    }
+
+    /// Records a forwarded packet as use of the host.
+    pub(crate) fn record_host_packet(&mut self, head: &Head) {
+        if !self.host.is_known() {
+            return;
+        }
+        if let Some(class) = self.host_class(head.service) {
+            self.host.gate_mut().record_packet(class, head.length);
+        }
+    }
+
     /// Returns the number of flows in the flow table.
     pub fn flows(&self) -> usize {
         self.flows.len()
@@ -342,6 +375,7 @@
 
     fn reload(&mut self, setting: Setting, out: &mut Vec<Effect>) {
         let seeds = setting.seeds.clone();
+        self.host.set_capacity(setting.capacity);
         self.setting = setting;
         out.push(Effect::Note(Note::Reloaded));
         peer::add_candidates(self, seeds, out);
--- a/crates/forward/src/tick.rs
+++ b/crates/forward/src/tick.rs
@@ -98,6 +98,7 @@
     publish_load(state, out);
     report::publish_restart_hints(state, out);
     exchange_demand(state, out);
+    report::review_host(state, out);
     let is_ready = state.is_ready();
     if is_ready != state.was_ready {
         state.was_ready = is_ready;
--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod flow;
 mod golden;
 mod health;
+mod host;
 mod hostile;
 mod load;
 mod loss;
--- a/crates/shell/src/packets/trace.rs
+++ b/crates/shell/src/packets/trace.rs
@@ -269,6 +269,41 @@
         } => tracing::info!(event = "ready", is_ready, routing, servers),
         Note::Stopping { flows } => tracing::info!(event = "stopping", flows),
         Note::Reloaded => tracing::info!(event = "reloaded"),
+        Note::HostFull {
+            flow,
+            priority,
+            is_upload,
+            share,
+            usage,
+        } => tracing::info!(
+            event = "host-full",
+            caller = %flow.caller,
+            service = %flow.service,
+            code = %Code::HostFull,
+            priority,
+            is_upload,
+            refused_permille = share,
+            link_percent = usage.link,
+            processor_percent = usage.processor,
+            tick_delay_ms = usage.tick_delay.as_millis(),
+        ),
+        Note::HostReady {
+            is_ready,
+            usage,
+            peers_above,
+        } => tracing::warn!(
+            event = "host-ready",
+            is_ready,
+            link_percent = usage.link,
+            processor_percent = usage.processor,
+            tick_delay_ms = usage.tick_delay.as_millis(),
+            peers_above,
+        ),
+        Note::Paced {
+            delayed,
+            dropped,
+            usage,
+        } => tracing::info!(event = "paced", delayed, dropped, link_percent = usage.link,),
     }
 }
 
@@ -285,5 +320,7 @@
             | Note::Reset { .. }
             | Note::SlowServer { .. }
             | Note::Spill { .. }
+            | Note::HostFull { .. }
+            | Note::Paced { .. }
     )
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -105,6 +105,18 @@
     Demand(Vec<PoolDemand>),
     /// Demand and occupancy of a failure domain, to the balancers of the other ones.
     DomainDemand(DomainDemand),
+    /// Use of the sender's host, to the balancers of its failure domain. It replaces the sender's
+    /// earlier frame.
+    HostUse(HostUse),
+}
+
+/// Use of a host whose link or processor is short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostUse {
+    /// The greater use of link and processor in percent, 255 at most.
+    pub percent: u8,
+    /// Whether the host reports not ready, so that the fabric gives its flows to others.
+    pub is_withdrawn: bool,
 }
 
 /// Load report of a balancer that forwards packets. It replaces the sender's earlier report.
--- a/crates/wire/tests/common/mod.rs
+++ b/crates/wire/tests/common/mod.rs
@@ -17,6 +17,7 @@
 use wire::frame::Frame;
 use wire::frame::Gossip;
 use wire::frame::Handover;
+use wire::frame::HostUse;
 use wire::frame::Ownership;
 use wire::frame::Record;
 use wire::frame::RecordKey;
@@ -197,6 +198,15 @@
     })
 }
 
+fn host_use() -> impl Strategy<Value = Body> {
+    (any::<u8>(), any::<bool>()).prop_map(|(percent, is_withdrawn)| {
+        Body::HostUse(HostUse {
+            percent,
+            is_withdrawn,
+        })
+    })
+}
+
 /// Generates frames of the kinds that carry data of callers or peers.
 pub(crate) fn frame() -> impl Strategy<Value = Frame> {
     let gossip =
@@ -214,6 +224,7 @@
         gossip.prop_map(|gossip| Body::Ping { seq: 1, gossip }),
         demand(),
         summary(),
+        host_use(),
         prop::collection::vec(data(100), 0..8).prop_map(|objects| Body::Delta {
             since: 1,
             upto: 2,
