forward: pacer of packets on a short link

Beyond the rate of a link, the kernel and the network dropped packets of all flows alike.

Not in the send path yet.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -17,6 +17,7 @@
 //! - `established`: packets of open flows, forwarded by route token.
 //! - `admission`: refusal of new flows by urgency while capacity is short.
 //! - `host`: the use of the host's link and processor.
+//! - `pace`: order and delay of packets while the host's link is short.
 //! - `refusal`: refused flows, whose further opening packets are refused too.
 //! - `select`: load balancing: the backend server of a new flow.
 //! - `speed`: service times of backend servers, from their answers.
@@ -73,6 +74,7 @@
 pub mod load;
 pub mod loss;
 pub mod note;
+pub mod pace;
 pub mod packet;
 pub mod patch;
 pub mod prelude;
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -28,6 +28,7 @@
 use crate::load::Loads;
 use crate::note::Note;
 use crate::opening;
+use crate::pace::Rank;
 use crate::packet::Head;
 use crate::packet::Verdict;
 use crate::peer;
@@ -280,6 +281,13 @@
         Some(host::Class::new(route.kind, route.priority))
     }
 
+    /// Returns the rank of a packet that waits for the host's link. Packets without a route go first:
+    /// they are few, since their flows have lost it.
+    pub fn rank(&self, head: &Head) -> Rank {
+        let class = self.host_class(head.service);
+        class.map_or(Rank::FIRST, |class| Rank::new(head, class))
+    }
+
     /// Records a forwarded packet as use of the host.
     pub(crate) fn record_host_packet(&mut self, head: &Head) {
         if !self.host.is_known() {
--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod load;
 mod loss;
 mod overload;
+mod pace;
 mod patch;
 mod promise;
 mod replication;
