shell: the pacer in front of the send queue, and what the process uses of its host

Packets to backend servers pass the pacer, which sends them from their receive buffer while less than 85% of the link is used or its rate is not known. Packets that wait are copied, and sent when the link has room, up to 200 times per second. Each tick tells the reducer the bytes sent and the processor time; a clock that cannot be read counts as unknown. A reload puts a new rate in force.

The set-up of the existing test there moved into a function that both use.

--- a/crates/forward/src/pace.rs
+++ b/crates/forward/src/pace.rs
@@ -145,11 +145,8 @@
     }
 
     /// Counts bytes that are sent without being asked for, such as frames.
-    pub fn record(&mut self, now: Time, bytes: usize) {
-        if self.rate.is_some() {
-            self.fill(now);
-            self.spend(cost(bytes));
-        }
+    pub fn record(&mut self, bytes: usize) {
+        self.spend(cost(bytes));
     }
 
     /// Queues a packet. If the queue is full, a packet of the last rank is dropped: another one, or
--- a/crates/forward/tests/cost.rs
+++ b/crates/forward/tests/cost.rs
@@ -1,4 +1,5 @@
-//! Tests that packets of open flows allocate no memory, whatever the size of the deployment.
+//! Tests that packets of open flows allocate no memory, whatever the size of the deployment, with
+//! the capacity of the host known and its link not short.
 
 mod common;
 
@@ -7,8 +8,9 @@
 use base::prelude::*;
 use common::Size;
 use common::NOW;
-use forward::packet::Verdict;
-use forward::token::Token;
+use forward::host::Capacity;
+use forward::pace::Pacer;
+use forward::prelude::*;
 use stats_alloc::Region;
 use stats_alloc::StatsAlloc;
 use stats_alloc::INSTRUMENTED_SYSTEM;
@@ -38,6 +40,15 @@
 
 fn packets_allocate_nothing(size: Size) {
     let mut balancer = common::balancer(size);
+    // The use of the host is recorded with each packet.
+    let capacity = Capacity::default().with_link_mbps(200.0).with_cores(0.5);
+    let peer = Peer {
+        datagram: ([10, 0, 0, 1], 7).into(),
+        stream: ([10, 0, 0, 1], 7).into(),
+    };
+    let setting = Setting::new("b0", "d0", peer, peer.datagram).with_capacity(capacity);
+    balancer.step(NOW, Event::Setting(Box::new(setting)), &mut Vec::new());
+    let mut pacer: Pacer<()> = Pacer::new(capacity.link, NOW);
     let mut out = Vec::with_capacity(64);
     let opening = common::head(u32::MAX, size.services, common::OPENING, Token(0));
     let Verdict::Forward {
@@ -54,6 +65,7 @@
     for number in 0..1_000u64 {
         let verdict = balancer.handle_packet(NOW + Span(number), &packet, &mut out);
         assert!(matches!(verdict, Verdict::Forward { token: None, .. }));
+        assert!(pacer.admit(NOW + Span(number), 400));
     }
     let change = region.change();
     assert_eq!((change.allocations, change.reallocations), (0, 0));
--- a/crates/node/src/text.rs
+++ b/crates/node/src/text.rs
@@ -98,6 +98,7 @@
                 let (domain, pools) = (&summary.domain, summary.pools.len());
                 write!(f, "summary of {domain}, {pools} pools")
             }
+            Body::HostUse(announced) => write!(f, "host used to {}%", announced.percent),
         }
     }
 }
--- a/crates/shell/src/clock.rs
+++ b/crates/shell/src/clock.rs
@@ -77,6 +77,13 @@
     Duration::from(read.expect("CLOCK_BOOTTIME is available since Linux 2.6.39"))
 }
 
+/// Returns the processor time that the process has used since its start, or `None` if it cannot be
+/// read.
+pub fn processor_time() -> Option<Span> {
+    let read = nix::time::clock_gettime(nix::time::ClockId::CLOCK_PROCESS_CPUTIME_ID);
+    read.ok().map(|time| to_span(Duration::from(time)))
+}
+
 /// Converts a duration to microseconds.
 pub fn to_span(duration: Duration) -> Span {
     Span(duration.as_micros() as u64)
--- a/crates/shell/src/packets/run.rs
+++ b/crates/shell/src/packets/run.rs
@@ -37,6 +37,7 @@
 use crate::packets::trace;
 use crate::run::Outcome;
 
+mod pace;
 mod send;
 
 /// Interval between ticks of the reducer.
@@ -152,6 +153,8 @@
     Event(Event),
     Query(Query),
     Tick,
+    /// The link has room for packets that wait.
+    Room,
     Terminate,
     Reload,
 }
@@ -169,6 +172,7 @@
     reassembler: Reassembler,
     /// Identifier of the last frame sent, which its fragments carry.
     frame_id: u32,
+    outlet: pace::Outlet,
     /// Fragments of long frames that wait to be sent.
     send_queue: VecDeque<(SocketAddr, Vec<u8>)>,
     file_modified: Option<SystemTime>,
@@ -196,6 +200,7 @@
             effects: Vec::new(),
             reassembler: Reassembler::default(),
             frame_id: 0,
+            outlet: pace::Outlet::new(shell.setting.forward.capacity.link, now),
             send_queue: VecDeque::new(),
             file_modified: modified_time(&shell),
             is_serving: false,
@@ -244,12 +249,14 @@
 
     /// Waits for the next input.
     async fn next_wake(&mut self) -> Wake {
+        let now = self.shell.clock.now();
         tokio::select! {
             result = self.shell.entry.recv(), if self.is_serving => Wake::Entry(result),
             result = self.shell.peers.recv() => Wake::Peers(result),
             Some(event) = self.events.recv() => Wake::Event(event),
             Some(query) = self.shell.queries.recv() => Wake::Query(query),
             _ = self.ticks.tick() => Wake::Tick,
+            () = self.outlet.wait(now), if self.outlet.holds() => Wake::Room,
             _ = self.signals.terminate.recv() => Wake::Terminate,
             _ = self.signals.interrupt.recv() => Wake::Terminate,
             _ = self.signals.reload.recv() => Wake::Reload,
@@ -269,6 +276,7 @@
             Wake::Event(event) => self.reducer.step(now, event, &mut self.effects),
             Wake::Query(query) => self.answer_query(query),
             Wake::Tick => self.handle_tick(now),
+            Wake::Room => self.release_held(now),
             Wake::Terminate => self.handle_terminate(now),
             Wake::Reload => self.reload(now),
         }
@@ -290,6 +298,7 @@
                 .metric
                 .count_drops(Code::Unreachable, unsent as u64);
         }
+        self.release_held(now);
     }
 
     fn handle_packet(&mut self, now: Time, index: usize, head: &forward::packet::Head) {
@@ -311,7 +320,8 @@
                 if let Some(token) = token {
                     codec.write_token(entry.datagram(index).data, token);
                 }
-                entry.queue_forward(index, codec.server_header(target.identity), target.address);
+                let header = codec.server_header(target.identity);
+                self.send_forward(now, index, head, header, target.address);
             }
             Verdict::Reset(code) => {
                 metric.count_drops(code, 1);
@@ -319,6 +329,8 @@
                 // Callers receive resets at the port of the entry address.
                 let port = entry.local().port();
                 entry.queue_answer(index, length, SocketAddrV4::new(*head.caller.ip(), port));
+                self.outlet.record(length);
+                self.outlet.remove_flow(head);
             }
             Verdict::Drop(code) => metric.count_drops(code, 1),
         }
@@ -345,6 +357,7 @@
 
     fn handle_tick(&mut self, now: Time) {
         self.tick = self.tick.wrapping_add(1);
+        self.observe_host(now);
         self.reducer.step(now, Event::Tick, &mut self.effects);
         self.send_queued_fragments();
         if self.tick % LOG_FLUSH_TICKS == 0 {
@@ -414,6 +427,7 @@
         forward.peer = old.peer;
         forward.admin = old.admin;
         self.shell.setting.forward = forward.clone();
+        self.set_link_rate(now, forward.capacity.link);
         let event = Event::Setting(Box::new(forward));
         self.reducer.step(now, event, &mut self.effects);
     }
--- a/crates/shell/src/packets/run/send.rs
+++ b/crates/shell/src/packets/run/send.rs
@@ -24,6 +24,8 @@
         let mut buffer = [0; DATAGRAM_BYTES];
         let length = codec.write_reset(head, &mut buffer);
         metric.count_drops(Code::ServerGone, 1);
+        self.outlet.record(length);
+        self.outlet.remove_flow(head);
         let to = SocketAddrV4::new(*head.caller.ip(), entry.local().port());
         if let Err(error) = entry.send(to.into(), &buffer[..length]) {
             // The caller's next packet is answered with a reset too.
@@ -58,10 +60,11 @@
         }
     }
 
-    fn send_datagram(&self, to: SocketAddr, bytes: &[u8]) {
+    fn send_datagram(&mut self, to: SocketAddr, bytes: &[u8]) {
         self.shell
             .metric
             .count_sent_frame(Transport::Datagram, bytes.len());
+        self.outlet.record(bytes.len());
         if let Err(error) = self.shell.peers.send(to, bytes) {
             // No retry here: state that a lost frame carried is sent again by the reducer.
             tracing::debug!(event = "send-failed", %to, %error);
--- a/crates/wasabid/tests/forward.rs
+++ b/crates/wasabid/tests/forward.rs
@@ -1,12 +1,15 @@
 //! Packet forwarding by a real process with a stub platform: a flow from its opening packet to its
-//! backend server, a refused flow, a reload of the settings and a planned stop.
+//! backend server, a refused flow, a reload of the settings, a short link and a planned stop.
 
 use std::io::BufRead;
 use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::net::UdpSocket;
+use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
@@ -122,38 +125,84 @@
     }
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn a_flow_is_forwarded_from_its_opening_to_a_planned_stop() {
-    let platform = Platform::start(ANY, ANY).await.expect("binds");
-    let url = format!("http://{}", platform.address().api);
-    let client = Client::new(&url).expect("the URL is valid");
-    let server = bind_socket(ANY);
-    let address = server.local_addr().expect("bound");
-    let routing = format!(
-        r#"{{"kind": "Routing", "name": "main", "spec": {{"routes": [{{"address": "{SERVICE}",
+/// A balancer with one backend server and one caller.
+struct Deployment {
+    /// Keeps the platform running.
+    _platform: Platform,
+    server: UdpSocket,
+    caller: UdpSocket,
+    balancer_at: SocketAddr,
+    settings: PathBuf,
+    balancer: Balancer,
+}
+
+impl Deployment {
+    async fn start(name: &str, settings_text: &str) -> Deployment {
+        let platform = Platform::start(ANY, ANY).await.expect("binds");
+        let url = format!("http://{}", platform.address().api);
+        let client = Client::new(&url).expect("the URL is valid");
+        let server = bind_socket(ANY);
+        let address = server.local_addr().expect("bound");
+        let routing = format!(
+            r#"{{"kind": "Routing", "name": "main", "spec": {{"routes": [{{"address": "{SERVICE}",
         "shares": [{{"pool": "p", "weight": 1}}]}}],
         "pools": [{{"name": "p", "cold_per_minute": 0, "cold_ms": 0}}]}}}}"#
-    );
-    let entry = format!(
-        r#"{{"kind": "Server", "name": "i-1", "labels": {{"domain": "a", "pool": "p"}},
+        );
+        let entry = format!(
+            r#"{{"kind": "Server", "name": "i-1", "labels": {{"domain": "a", "pool": "p"}},
         "spec": {{"address": "{address}", "identity": {IDENTITY}}}}}"#
-    );
-    put_object(&client, &routing).await;
-    put_object(&client, &entry).await;
-    let port = free_port();
-    let balancer_at = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-    let caller = bind_socket(SocketAddr::from((CALLER, port)));
-    let folder = std::env::temp_dir();
-    let settings = folder.join(format!("wasabid-forward-{}.env", std::process::id()));
-    std::fs::write(&settings, "WASABI_GRACE_MS=4000\n").expect("written");
-    let path = settings.to_string_lossy().into_owned();
-    let mut balancer = Balancer::start(balancer_at, ANY, &url, &path);
+        );
+        put_object(&client, &routing).await;
+        put_object(&client, &entry).await;
+        let port = free_port();
+        let balancer_at = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        let caller = bind_socket(SocketAddr::from((CALLER, port)));
+        let folder = std::env::temp_dir();
+        let settings = folder.join(format!("wasabid-{name}-{}.env", std::process::id()));
+        std::fs::write(&settings, settings_text).expect("written");
+        let path = settings.to_string_lossy().into_owned();
+        let balancer = Balancer::start(balancer_at, ANY, &url, &path);
+        Deployment {
+            _platform: platform,
+            server,
+            caller,
+            balancer_at,
+            settings,
+            balancer,
+        }
+    }
+
+    fn send(&self, packet: &[u8]) {
+        self.caller.send_to(packet, self.balancer_at).expect("sent");
+    }
+
+    /// Opens a flow and returns its route token.
+    fn open_flow(&self) -> u32 {
+        self.send(&packet(SYN, 0, SERVICE, b""));
+        let forwarded = recv(&self.server);
+        Packet::decode(&forwarded[8..]).expect("a packet").token
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        // Fails if the test has removed the file.
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_flow_is_forwarded_from_its_opening_to_a_planned_stop() {
+    let mut deployment = Deployment::start("forward", "WASABI_GRACE_MS=4000\n").await;
+    let (server, caller) = (&deployment.server, &deployment.caller);
+    let (balancer_at, settings) = (deployment.balancer_at, &deployment.settings);
+    let balancer = &mut deployment.balancer;
     balancer.next_event("start");
     assert_eq!(balancer.next_event("ready")["is_ready"], true);
 
     let opening = packet(SYN, 0, SERVICE, b"");
     caller.send_to(&opening, balancer_at).expect("sent");
-    let forwarded = recv(&server);
+    let forwarded = recv(server);
     assert_eq!(
         forwarded[..8],
         IDENTITY.to_be_bytes(),
@@ -170,7 +219,7 @@
     let data = b"GET / HTTP/1.1\r\nX-Request-Id: a32d01\r\n\r\n";
     let request = packet(ACK, token, SERVICE, data);
     caller.send_to(&request, balancer_at).expect("sent");
-    assert_eq!(recv(&server)[8..], request);
+    assert_eq!(recv(server)[8..], request);
     let line = balancer.next_event("request");
     assert_eq!(
         (&line["request"], &line["server"]),
@@ -180,18 +229,18 @@
     let nowhere = SocketAddrV4::new(*SERVICE.ip(), 444);
     let stray = packet(SYN, 0, nowhere, b"");
     caller.send_to(&stray, balancer_at).expect("sent");
-    let reset = recv(&caller);
+    let reset = recv(caller);
     assert_eq!((reset.len(), reset[0]), (31, RST));
     assert!(balancer.next_event("flow-refused")["code"]
         .to_string()
         .contains("E108"));
 
-    std::fs::write(&settings, "WASABI_GRACE_MS=nothing\n").expect("written");
+    std::fs::write(settings, "WASABI_GRACE_MS=nothing\n").expect("written");
     balancer.signal("-HUP");
     assert!(balancer.next_event("reload-failed")["why"]
         .to_string()
         .contains("grace-ms"));
-    std::fs::write(&settings, "WASABI_GRACE_MS=3000\n").expect("written");
+    std::fs::write(settings, "WASABI_GRACE_MS=3000\n").expect("written");
     balancer.signal("-HUP");
     balancer.next_event("reloaded");
 
@@ -199,11 +248,55 @@
     balancer.next_event("stopping");
     caller.send_to(&request, balancer_at).expect("sent");
     assert_eq!(
-        recv(&server)[8..],
+        recv(server)[8..],
         request,
         "a flow was not forwarded during the planned stop"
     );
     balancer.next_event("stop");
     assert!(balancer.child.wait().expect("the process exits").success());
-    std::fs::remove_file(&settings).expect("removed");
+}
+
+/// Guards against a short link on which the network drops packets in any order, and against pacing
+/// that goes on when the setting is removed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_short_link_is_paced_until_the_setting_is_removed() {
+    let mut deployment = Deployment::start("paced", "WASABI_LINK_MBPS=1\n").await;
+    let start = deployment.balancer.next_event("start");
+    deployment.balancer.next_event("ready");
+    let token = deployment.open_flow();
+    let read_timeout = Some(Duration::from_millis(200));
+    deployment
+        .server
+        .set_read_timeout(read_timeout)
+        .expect("the read timeout can be set");
+    let burst = |deployment: &Deployment| -> Vec<u8> {
+        for number in 0..60 {
+            deployment.send(&packet(ACK, token, SERVICE, &[number; 1_000]));
+        }
+        let mut received = Vec::new();
+        let mut buffer = [0; 2_048];
+        while let Ok((length, _)) = deployment.server.recv_from(&mut buffer) {
+            received.push(buffer[length - 1]);
+        }
+        received
+    };
+    // 85 ms of the link at once, and 50 ms from the queue, at 8.5 ms for each packet.
+    let received = burst(&deployment);
+    assert!((10..=25).contains(&received.len()), "{received:?}");
+    assert!(received.is_sorted(), "{received:?}");
+    let line = deployment.balancer.next_event("paced");
+    assert!(line["dropped"].as_u64() > Some(30), "{line}");
+    let admin = start["admin"].as_str().expect("an address");
+    let mut page = std::net::TcpStream::connect(admin).expect("connects");
+    page.write_all(b"GET /metrics HTTP/1.0\r\n\r\n")
+        .expect("sent");
+    let mut text = String::new();
+    page.read_to_string(&mut text).expect("read");
+    assert!(text.contains("wasabi_node_paced_dropped"), "{text}");
+
+    std::fs::write(&deployment.settings, "WASABI_LINK_MBPS=0\n").expect("written");
+    deployment.balancer.signal("-HUP");
+    deployment.balancer.next_event("reloaded");
+    let received = burst(&deployment);
+    assert_eq!(received, Vec::from_iter(0..60));
 }
