forward: tests of full hosts with several balancers

One host full, all hosts of a domain full, a host alone in its domain, one that recovers, two full hosts with every second frame of each pair lost, forged senders, and a small host beside large ones.

--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod pace;
 mod patch;
 mod promise;
+mod ready;
 mod replication;
 mod sim;
 mod spill;
--- a/crates/forward/tests/all/sim/driver.rs
+++ b/crates/forward/tests/all/sim/driver.rs
@@ -84,12 +84,28 @@
         if self.now < state.paused_until {
             return;
         }
+        self.observe_host(balancer);
         self.step_balancer(balancer, Event::Tick);
         if self.balancers[balancer].incarnation == incarnation {
             self.schedule(Simulation::tick_period(), Task::Tick(balancer, incarnation));
         }
     }
 
+    /// Tells a balancer what it has used of its host.
+    fn observe_host(&mut self, balancer: usize) {
+        let Some(host) = self.hosts.get_mut(&balancer) else {
+            return;
+        };
+        let period = Simulation::tick_period();
+        let link = host.capacity().link.map_or(0, u64::from);
+        host.bytes += link * period.0 / 1_000_000 * host.background_percent / 100;
+        let sample = forward::host::Sample {
+            bytes: host.bytes,
+            ..forward::host::Sample::default()
+        };
+        self.step_balancer(balancer, Event::HostUse(sample));
+    }
+
     fn probe_balancers(&mut self) {
         for balancer in 0..self.balancers.len() {
             let is_paused = self.now < self.balancers[balancer].paused_until;
@@ -163,6 +179,9 @@
         self.apply_effects(balancer, out);
         match verdict {
             Verdict::Forward { target, token } => {
+                if let Some(host) = self.hosts.get_mut(&balancer) {
+                    host.bytes += u64::from(head.length) + forward::host::gate::OVERHEAD_BYTES;
+                }
                 let mut head = *head;
                 head.token = token.unwrap_or(head.token);
                 self.forward_packet(balancer, target, head);
@@ -236,6 +255,13 @@
                 let Some(there) = self.balancers.get(to).map(|state| state.domain) else {
                     return;
                 };
+                if let wire::frame::Body::HostUse(_) = &frame.body {
+                    let sent = self.host_frames.entry((balancer, to)).or_default();
+                    *sent += 1;
+                    if self.host_frame_loss > 0 && *sent % self.host_frame_loss == 0 {
+                        return;
+                    }
+                }
                 let is_isolated = self.isolated.contains(&balancer) || self.isolated.contains(&to);
                 if is_isolated || self.is_link_blocked(here, there) || self.is_packet_lost() {
                     return;
--- a/crates/forward/tests/all/sim/mod.rs
+++ b/crates/forward/tests/all/sim/mod.rs
@@ -96,6 +96,30 @@
     pub(crate) duplicates: usize,
 }
 
+/// The host of a balancer with a link of known capacity.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Host {
+    /// The rate of the link, in Mbit/s.
+    pub(crate) mbps: f64,
+    /// The part of the link that other packets take, in percent.
+    pub(crate) background_percent: u64,
+    /// The bytes that were sent on the link.
+    pub(crate) bytes: u64,
+}
+
+impl Host {
+    pub(crate) fn new(mbps: f64) -> Host {
+        Host {
+            mbps,
+            ..Host::default()
+        }
+    }
+
+    fn capacity(&self) -> forward::host::Capacity {
+        forward::host::Capacity::default().with_link_mbps(self.mbps)
+    }
+}
+
 /// An action that is due at some time.
 ///
 /// Balancers, servers and requests are given by index. A task for another incarnation than the
@@ -197,6 +221,12 @@
     /// The number of objects that balancers sent each other.
     pub(crate) published_objects: usize,
     pub(crate) log: Vec<String>,
+    /// The hosts with a link of known capacity, by balancer. They are set before the balancers start.
+    pub(crate) hosts: BTreeMap<usize, Host>,
+    /// The number of frames about the use of hosts from one balancer to another.
+    pub(crate) host_frames: BTreeMap<(usize, usize), usize>,
+    /// Of this many of these frames one is lost, of each pair; 0 if none is.
+    pub(crate) host_frame_loss: usize,
     /// Whether decisions are logged, for golden files.
     pub(crate) is_logging: bool,
     /// Whether the fabric selects balancers by hash modulo their number, so that nearly all flows
@@ -267,6 +297,9 @@
             loss: 0,
             published_objects: 0,
             log: Vec::new(),
+            hosts: BTreeMap::new(),
+            host_frames: BTreeMap::new(),
+            host_frame_loss: 0,
             is_logging: false,
             has_modulo_hashing: false,
             has_remote_fallback: true,
@@ -365,10 +398,12 @@
             slack: 5,
         };
         let seeds = (0..SEED_BALANCERS).map(peer_address).collect();
+        let capacity = self.hosts.get(&balancer).map(Host::capacity);
         let setting = Setting::new(state.name.clone(), domain_name(state.domain), peer, address)
             .with_seeds(seeds)
             .with_cold(cold)
-            .with_grace(Span::secs(6));
+            .with_grace(Span::secs(6))
+            .with_capacity(capacity.unwrap_or_default());
         state.reducer = Some(Forwarder::new(setting, self.now));
         state.incarnation += 1;
         state.is_stopping = false;
