Use of the host in the dump and the metrics

The dump shows the use of link and processor, the shares that are refused and whether the host is ready; the metrics have wasabi_node_host_*. Nothing is shown without a known capacity.

--- a/crates/forward/src/dump.rs
+++ b/crates/forward/src/dump.rs
@@ -38,6 +38,19 @@
             }
         }
         writeln!(f, "flows {}", self.flows.len())?;
+        if self.host.is_known() {
+            let now = self.now;
+            let above = self.host.readiness().peers_above(now);
+            writeln!(f, "host {}, {above} others above", self.host.usage())?;
+            for (class, share) in self.host.gate().refused_classes() {
+                writeln!(f, "  host refuses {share} permille of {class}")?;
+            }
+            let announced = match self.host.readiness().is_withdrawn() {
+                true => "not ready",
+                false => "ready",
+            };
+            writeln!(f, "  host {announced}")?;
+        }
         for domain in self.table.domains() {
             let state = if domain.out_since.is_some() {
                 "out"
--- a/crates/forward/src/host/gate.rs
+++ b/crates/forward/src/host/gate.rs
@@ -4,6 +4,8 @@
 //! of uploads first if the link is short, then of the least urgent priority. The caller's next attempt
 //! has another port, which the fabric usually assigns to another host.
 
+use std::fmt;
+
 use base::prelude::*;
 use conf::routing::Traffic;
 use limit::share;
@@ -47,6 +49,13 @@
         self.priority
     }
 
+    fn from_index(index: usize) -> Class {
+        Class {
+            is_upload: index >= PRIORITIES,
+            priority: (index % PRIORITIES) as u8,
+        }
+    }
+
     /// Returns the index of the class: uploads after all others, and less urgent ones after more
     /// urgent ones.
     pub(super) fn index(self) -> usize {
@@ -54,6 +63,17 @@
     }
 }
 
+impl fmt::Display for Class {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let kind = if self.is_upload {
+            "uploads"
+        } else {
+            "requests"
+        };
+        write!(f, "{kind} of priority {}", self.priority)
+    }
+}
+
 /// Which new flows are refused.
 #[derive(Clone, Debug)]
 pub struct Gate {
@@ -127,7 +147,15 @@
 
     /// Returns whether any flows are refused.
     pub fn is_refusing(&self) -> bool {
-        self.shares.iter().any(|&share| share > 0)
+        self.refused_classes().next().is_some()
+    }
+
+    /// Returns the classes of which some flows are refused, with the shares in thousandths.
+    pub fn refused_classes(&self) -> impl Iterator<Item = (Class, u32)> + '_ {
+        let shares = self.shares.iter().enumerate();
+        shares
+            .filter(|(_, &share)| share > 0)
+            .map(|(index, &share)| (Class::from_index(index), share))
     }
 
     /// Ends a window of the link with its utilization in percent. Refusing starts only if `is_short`
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -1,5 +1,4 @@
-//! Membership, and the frames that balancers exchange: updates of platform objects, resync requests
-//! and, with `report`, load reports.
+//! Membership and exchanged frames: updates of platform objects, resync requests, load reports.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
--- a/crates/forward/tests/all/ready.rs
+++ b/crates/forward/tests/all/ready.rs
@@ -125,6 +125,20 @@
     }
 }
 
+/// Guards against a second host that leaves its callers while the first is away, whichever of them
+/// comes first by hash.
+#[test]
+fn a_host_that_becomes_full_later_stays_ready() {
+    for (first, second) in [(3, 7), (7, 3)] {
+        let mut sim = deployment(8, 12);
+        set_background(&mut sim, first, 120);
+        sim.run_for(FULL);
+        assert_eq!(withdrawn(&sim), [first]);
+        set_background(&mut sim, second, 120);
+        assert_eq!(watch(&mut sim, Span::secs(8)), (1, vec![first]));
+    }
+}
+
 /// Guards against frames that keep a full host from being replaced although no host sent them.
 #[test]
 fn frames_of_forged_senders_and_other_domains_do_not_count() {
@@ -183,3 +197,18 @@
     let refused = (0..3).map(|balancer| sim.reducer(balancer).counts().get(Kind::RefusedHost));
     assert_eq!(refused.sum::<u64>(), 0);
 }
+
+/// Guards against operators who cannot see why flows are refused.
+#[test]
+fn the_dump_shows_the_use_of_the_host() {
+    let mut sim = deployment(9, BALANCERS);
+    set_background(&mut sim, 0, 120);
+    sim.run_for(FULL);
+    let dump = sim.reducer(0).to_string();
+    assert!(dump.contains("host link 120%, processor not known, ticks late by 0.000ms"));
+    assert!(dump.contains("  host not ready"));
+    assert!(
+        dump.contains("  host refuses 900 permille of requests of priority 0"),
+        "{dump}"
+    );
+}
--- a/crates/shell/src/packets/run.rs
+++ b/crates/shell/src/packets/run.rs
@@ -488,6 +488,7 @@
     let own = reducer.counts().iter();
     let flows = [("flows", reducer.flows() as u64)];
     own.chain(flows)
+        .chain(pace::host_values(reducer))
         .map(|(name, value)| Count::new(name, value))
         .collect()
 }
--- a/crates/shell/src/packets/run/pace.rs
+++ b/crates/shell/src/packets/run/pace.rs
@@ -14,6 +14,7 @@
 use forward::pace::Pacer;
 use forward::pace::Packet;
 use forward::packet::Head;
+use forward::Forwarder;
 
 use super::Loop;
 use crate::clock;
@@ -143,3 +144,19 @@
         }
     }
 }
+
+/// Returns the use of the host as far as it is known, for the metrics.
+pub(super) fn host_values(reducer: &Forwarder) -> impl Iterator<Item = (&'static str, u64)> {
+    let host = reducer.host();
+    let usage = host.usage();
+    let is_withdrawn = host.readiness().is_withdrawn();
+    let values = [
+        ("host_link_percent", usage.link.map(u64::from)),
+        ("host_processor_percent", usage.processor.map(u64::from)),
+        ("host_tick_delay_ms", Some(usage.tick_delay.as_millis())),
+        ("host_is_withdrawn", Some(is_withdrawn.into())),
+    ];
+    let is_known = host.is_known();
+    let values = values.into_iter().filter(move |_| is_known);
+    values.filter_map(|(name, value)| Some((name, value?)))
+}
--- a/crates/wasabid/tests/forward.rs
+++ b/crates/wasabid/tests/forward.rs
@@ -292,7 +292,9 @@
         .expect("sent");
     let mut text = String::new();
     page.read_to_string(&mut text).expect("read");
-    assert!(text.contains("wasabi_node_paced_dropped"), "{text}");
+    for name in ["paced_dropped", "host_link_percent", "host_is_withdrawn"] {
+        assert!(text.contains(&format!("wasabi_node_{name}")), "{text}");
+    }
 
     std::fs::write(&deployment.settings, "WASABI_LINK_MBPS=0\n").expect("written");
     deployment.balancer.signal("-HUP");
