--- a/crates/forward/tests/all/host.rs
+++ b/crates/forward/tests/all/host.rs
@@ -191,9 +191,21 @@
 #[test]
 fn a_single_burst_refuses_nothing() {
     let mut model = Model::with_link();
+    let burst = Offer {
+        packets: 1,
+        ..uploads(5_000)
+    };
+    // Windows end 25 ms after each 100 ms, so that each burst is within one.
+    model.run(Span::millis(1_030), &[uploads(4)]);
     for _ in 0..20 {
-        let burst = model.run(Span::millis(50), &[uploads(200)]);
-        let rest = model.run(Span::millis(950), &[uploads(4)]);
+        let burst = model.run(Span::millis(50), &[burst]);
+        model.run(Span::millis(50), &[uploads(4)]);
+        let used = model.host.usage().link;
+        assert!(
+            used > Some(95),
+            "the burst alone exceeds the mean: {used:?}"
+        );
+        let rest = model.run(Span::millis(900), &[uploads(4)]);
         assert_eq!(burst[0].refused + rest[0].refused, 0);
     }
 }
