--- a/crates/forward/src/host/processor.rs
+++ b/crates/forward/src/host/processor.rs
@@ -6,25 +6,25 @@
 
 use super::window::Windows;
 
-/// The length of a window. Reads of the store and checks take some milliseconds of a core several
-/// times per second, which is 5% of this window with a quota of 0.1 cores.
-pub const WINDOW: Span = Span::millis(500);
-/// The number of windows that utilization is the mean of.
-pub(super) const WINDOWS: usize = 1;
+/// The length of a window. An update of many objects takes tens of milliseconds of a core at once, on
+/// all hosts at the same time. It is within one window, and must not make all of them refuse flows.
+pub const WINDOW: Span = Span::millis(250);
+/// The number of windows that utilization is the mean of: 500 ms.
+pub(super) const WINDOWS: usize = 2;
 
 /// The processor time of the process, against its quota.
 #[derive(Clone, Debug)]
 pub struct Processor {
     windows: Windows<WINDOWS>,
-    /// The longest delay of a tick in the current window and in the last one.
-    delays: [Span; 2],
+    /// The longest delay of a tick in the current window and in each of the last ones.
+    delays: [Span; 1 + WINDOWS],
 }
 
 impl Default for Processor {
     fn default() -> Processor {
         Processor {
             windows: Windows::new(WINDOW),
-            delays: [Span::ZERO; 2],
+            delays: [Span::ZERO; 1 + WINDOWS],
         }
     }
 }
@@ -48,24 +48,25 @@
         };
         let has_ended = self.windows.record(now, used.0, quota.get());
         if has_ended {
-            self.delays = [Span::ZERO, self.delays[0]];
+            self.delays.rotate_right(1);
+            self.delays[0] = Span::ZERO;
         }
         has_ended
     }
 
-    /// Returns the use of the last window in percent; `None` if it is not known.
+    /// Returns the use of the last 500 ms in percent; `None` if it is not known.
     pub fn utilization(&self) -> Option<u32> {
         self.windows.mean()
     }
 
-    /// Returns whether the use of the last window exceeds a bound.
+    /// Returns whether the use exceeds a bound in both of the last windows.
     pub fn is_above(&self, percent: u32) -> bool {
         self.windows.is_above(percent)
     }
 
-    /// Returns the longest delay of a tick in the last window. A process that exceeds its quota is
+    /// Returns the longest delay of a tick in the last windows. A process that exceeds its quota is
     /// not scheduled for a while, which delays its ticks.
     pub fn tick_delay(&self) -> Span {
-        self.delays[1]
+        self.delays.iter().copied().max().unwrap_or_default()
     }
 }
--- a/crates/forward/tests/all/host.rs
+++ b/crates/forward/tests/all/host.rs
@@ -210,6 +210,21 @@
     }
 }
 
+/// Guards against hosts that all refuse flows because of an update of the store's objects, which takes
+/// 60 ms of a core on each of them.
+#[test]
+fn an_update_of_many_objects_refuses_nothing() {
+    let mut model = Model::new(Capacity::default().with_cores(0.1));
+    let offers = [requests(3, 50)];
+    model.run(Span::secs(1), &offers);
+    for _ in 0..10 {
+        let used = model.sample.processor.unwrap_or_default();
+        model.sample.processor = Some(Span(used.0 + 60_000));
+        let outcomes = model.run(Span::secs(1), &offers);
+        assert_eq!(outcomes[0].refused, 0);
+    }
+}
+
 /// Guards against refusals that outlast the shortage.
 #[test]
 fn refusals_end_when_use_falls() {
