--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -16,6 +16,9 @@
 //! - `opening`: opening packets: server selection, retransmissions and refusals.
 //! - `established`: packets of open flows, forwarded by route token.
 //! - `admission`: refusal of new flows by urgency while capacity is short.
+//! - `host`: the use of the host's link and processor.
+//! - `pace`: order and delay of packets while the host's link is short.
+//! - `refusal`: refused flows, whose further opening packets are refused too.
 //! - `select`: load balancing: the backend server of a new flow.
 //! - `speed`: service times of backend servers, from their answers.
 //! - `answer`: recognition of rejected requests by the size of their answers.
@@ -74,10 +77,12 @@
 pub mod feed;
 pub mod flow;
 pub mod health;
+pub mod host;
 pub mod load;
 pub mod loss;
 pub mod note;
 pub mod overview;
+pub mod pace;
 pub mod packet;
 pub mod patch;
 pub mod prelude;
@@ -85,6 +90,7 @@
 pub mod rate;
 pub mod reach;
 pub mod recipient;
+pub mod refusal;
 pub mod role;
 pub mod running;
 pub mod select;
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -1,6 +1,7 @@
 //! The reducer: its state, readiness, and the ownership of cold servers and checks.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddrV4;
 
 use base::prelude::*;
 use conf::key;
@@ -21,11 +22,14 @@
 use crate::flow::Flow;
 use crate::flow::Flows;
 use crate::flow::Id;
+use crate::host;
+use crate::host::Host;
 use crate::load;
 use crate::load::Loads;
 use crate::note::Note;
 use crate::opening;
 use crate::overview;
+use crate::pace::Rank;
 use crate::packet::Head;
 use crate::packet::Verdict;
 use crate::peer;
@@ -79,12 +83,15 @@
     pub(crate) timers: tick::Timers,
     /// The pools that were short of capacity in the last minute.
     pub(crate) shortages: Shortages,
+    /// The use of the host's link and processor.
+    pub(crate) host: Host,
 }
 
 impl Forwarder {
     /// Returns a balancer without any replicated state.
     pub fn new(setting: Setting, now: Time) -> Forwarder {
         let group = peer::new_group(&setting, now);
+        let host = Host::new(setting.capacity);
         let speeds = Speeds::default().with_balancer(group.local().incarnation);
         Forwarder {
             group,
@@ -112,6 +119,7 @@
             last_packet_at: now,
             timers: tick::Timers::new(now),
             shortages: Shortages::default(),
+            host,
         }
     }
 
@@ -151,6 +159,7 @@
             Event::Resumed(pause) => self.resume(pause, out),
             Event::Setting(setting) => self.reload(*setting, out),
             Event::Stop => self.stop(out),
+            Event::HostUse(sample) => report::observe_host(self, sample, out),
         }
     }
 
@@ -159,10 +168,13 @@
         self.table.has_routing() && self.feeds.are_synced()
     }
 
-    /// Returns whether the balancer can serve packets, is not stopping and is not isolated from the
-    /// backend servers.
+    /// Returns whether the balancer can serve packets, is not stopping, is not isolated from the
+    /// backend servers and has not withdrawn because its host is full.
     pub fn is_ready(&self) -> bool {
-        self.can_serve() && self.stopping_since.is_none() && !self.is_isolated()
+        self.can_serve()
+            && self.stopping_since.is_none()
+            && !self.is_isolated()
+            && !self.host.readiness().is_withdrawn()
     }
 
     /// Returns whether callers should use other balancers: operators have taken this failure domain
@@ -278,6 +290,35 @@
         (&mut self.exchange, &mut self.demands, view)
     }
 
+    /// Returns the use of the host's link and processor.
+    pub fn host(&self) -> &Host {
+        &self.host
+    }
+
+    /// Returns the class by which the host refuses the flows of a service address; `None` if no route
+    /// has the address.
+    pub(crate) fn host_class(&self, service: SocketAddrV4) -> Option<host::Class> {
+        let route = self.table.route(service)?;
+        Some(host::Class::new(route.kind, route.priority))
+    }
+
+    /// Returns the rank of a packet that waits for the host's link. Packets without a route go first:
+    /// they are few, since their flows have lost it.
+    pub fn rank(&self, head: &Head) -> Rank {
+        let class = self.host_class(head.service);
+        class.map_or(Rank::FIRST, |class| Rank::new(head, class))
+    }
+
+    /// Records a forwarded packet as use of the host.
+    pub(crate) fn record_host_packet(&mut self, head: &Head) {
+        if !self.host.is_known() {
+            return;
+        }
+        if let Some(class) = self.host_class(head.service) {
+            self.host.gate_mut().record_packet(class, head.length);
+        }
+    }
+
     /// Returns the number of flows in the flow table.
     pub fn flows(&self) -> usize {
         self.flows.len()
@@ -363,6 +404,7 @@
 
     fn reload(&mut self, setting: Setting, out: &mut Vec<Effect>) {
         let seeds = setting.seeds.clone();
+        self.host.set_capacity(setting.capacity);
         self.setting = setting;
         out.push(Effect::Note(Note::Reloaded));
         peer::add_candidates(self, seeds, out);
