--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -41,6 +41,7 @@
 //! - `contact`: the failure domains from whose balancers frames arrive.
 //! - `load`: load reports of other balancers, and the sums that selection uses.
 //! - `running`: the requests under way at a server, here and at peers.
+//! - `retransmission`: evidence that a backend server leaves its open flows unanswered.
 //! - `loss`: requests that a backend server left without an answer.
 //! - `report`: exchange of load reports and restart hints.
 //! - `rate`: estimators of the rates of events.
@@ -91,6 +92,7 @@
 pub mod reach;
 pub mod recipient;
 pub mod refusal;
+pub mod retransmission;
 pub mod role;
 pub mod running;
 pub mod select;
