forward: a starting balancer takes its objects from peers

A balancer serves two at a time and names one of them to the others. Of each failure domain only the first balancer by incarnation reads the platform after 200 ms; the others read it when no peer answers. Objects are encoded by column, and fragments to different peers are sent in turn.

--- a/crates/forward/src/count.rs
+++ b/crates/forward/src/count.rs
@@ -55,6 +55,11 @@
     DemandFrames,
     /// Frames about demand that were dropped because their sender may not send them.
     DemandRejected,
+    /// Snapshots sent to balancers that start.
+    Snapshots,
+    /// Frames about snapshots that were dropped: their sender is not a live member, nobody asked
+    /// for them, or they do not decode.
+    SnapshotsRejected,
     /// Frames sent to peers.
     Sent,
     /// Frames received from peers.
--- a/crates/forward/src/event.rs
+++ b/crates/forward/src/event.rs
@@ -46,6 +46,8 @@
         /// The frame.
         frame: Frame,
     },
+    /// A fragment of a longer frame from a peer arrived.
+    Fragment(SocketAddr),
     /// A health check ended.
     Checked {
         /// The backend server's key at the start of the check.
--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -16,6 +16,11 @@
 
 use crate::role::Role;
 use crate::role::Tier;
+use crate::startup::SNAPSHOT_AGE_MAX;
+
+mod set;
+
+pub use set::Feeds;
 
 /// The kinds that are read, in the order in which they are put in force.
 pub const KINDS: [Kind; 3] = [Kind::Routing, Kind::Server, Kind::Domain];
@@ -82,6 +87,9 @@
     /// When the platform last confirmed the state, to this balancer or to the peer that published
     /// it.
     confirmed_at: Option<Time>,
+    /// When the platform last confirmed the state of a snapshot that is too old to be put in force
+    /// without a further confirmation.
+    unconfirmed_at: Option<Time>,
     /// When the platform last confirmed the state to this balancer.
     read_at: Option<Time>,
     /// When the platform last confirmed the state to a peer of another failure domain that
@@ -134,6 +142,7 @@
             gap_since: None,
             failures: 0,
             confirmed_at: None,
+            unconfirmed_at: None,
             read_at: None,
             remote_read_at: None,
             quiet_until: Time::default(),
@@ -267,6 +276,10 @@
         let doublings = self.failures.min(8);
         let max_wait = Span(BACKOFF_MIN.0 << doublings).min(BACKOFF_MAX);
         self.failures += u32::from(!is_history_gone);
+        if !is_history_gone {
+            // Without the platform an old state is better than none.
+            self.confirmed_at = self.confirmed_at.or(self.unconfirmed_at.take());
+        }
         let wait = match is_history_gone {
             true => Span::ZERO,
             false => Span(max_wait.0 / 2 + max_wait.0 * jitter / 200),
@@ -303,6 +316,34 @@
         change
     }
 
+    /// Applies a snapshot of all objects that a peer sent to this starting balancer. One that is
+    /// older than the local state changes nothing; one whose confirmation is older than
+    /// `SNAPSHOT_AGE_MAX` does not count as received before the next confirmation.
+    pub fn apply_snapshot(&mut self, now: Time, update: &Update<'_>) -> Change {
+        let current = self.store.revision();
+        let change = self.store.apply(update.objects, 0, update.upto);
+        if update.upto < current {
+            return change;
+        }
+        self.needs_listing = false;
+        // The next watermark shows what is missing after the snapshot.
+        self.gap_since = None;
+        self.gap_revision = 0;
+        self.clear_behind();
+        if update.age > SNAPSHOT_AGE_MAX {
+            self.unconfirmed_at = Some(now - update.age);
+            return change;
+        }
+        if !self.is_synced() {
+            self.quiet_until = now + STARTUP_QUIET_PERIOD;
+        }
+        self.confirmed_at = self.confirmed_at.max(Some(now - update.age));
+        self.last_peer_update = Some(now);
+        self.needs_read = false;
+        self.failures = 0;
+        change
+    }
+
     /// Returns whether the state was confirmed recently enough to publish its watermark to the
     /// recipients of a role.
     ///
@@ -359,125 +400,3 @@
         (self.store.newest_version().max(1), self.store.revision())
     }
 }
-
-/// The feeds of all kinds.
-#[derive(Clone, Debug)]
-pub struct Feeds {
-    feeds: [Feed; 3],
-    /// The highest version of an object that a peer has and this balancer lacks, and since when.
-    missing_version: Option<(u64, Time)>,
-}
-
-impl Default for Feeds {
-    fn default() -> Feeds {
-        Feeds {
-            feeds: KINDS.map(Feed::new),
-            missing_version: None,
-        }
-    }
-}
-
-impl Feeds {
-    /// Returns the feed of a kind, if that kind is read.
-    pub fn get(&self, kind: Kind) -> Option<&Feed> {
-        self.feeds.iter().find(|feed| feed.kind == kind)
-    }
-
-    /// Returns the mutable feed of a kind, if that kind is read.
-    pub fn get_mut(&mut self, kind: Kind) -> Option<&mut Feed> {
-        self.feeds.iter_mut().find(|feed| feed.kind == kind)
-    }
-
-    /// Returns all feeds.
-    pub fn iter(&self) -> impl Iterator<Item = &Feed> {
-        self.feeds.iter()
-    }
-
-    /// Returns all mutable feeds.
-    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Feed> {
-        self.feeds.iter_mut()
-    }
-
-    /// Returns whether a complete state of each kind has been received.
-    pub fn are_synced(&self) -> bool {
-        self.feeds.iter().all(Feed::is_synced)
-    }
-
-    /// Returns the staleness of a kind, if its state has been received.
-    pub fn age(&self, kind: Kind, now: Time) -> Option<Span> {
-        self.get(kind)?.age(now)
-    }
-
-    /// Returns the highest version of any object here.
-    pub fn newest(&self) -> u64 {
-        let newest = self.feeds.iter().map(|feed| feed.store.newest_version());
-        newest.max().unwrap_or_default()
-    }
-
-    /// Returns the revision up to which every object is present here: the highest version of an
-    /// object, or the revision that all feeds have reached.
-    fn covered_revision(&self) -> u64 {
-        let revisions = self.feeds.iter().map(|feed| feed.store.revision());
-        self.newest().max(revisions.min().unwrap_or_default())
-    }
-
-    /// Returns whether watermarks may be published to the recipients of a role. The heartbeat feed
-    /// decides for all kinds, since its answers show the revision of the whole store.
-    pub fn can_vouch(&self, now: Time, role: Role) -> bool {
-        self.get(HEARTBEAT_KIND)
-            .is_some_and(|feed| feed.can_vouch(now, role))
-    }
-
-    /// Marks the feeds that are behind the revision that an answer showed. The heartbeat feed is
-    /// left out: its watch ends within `HEARTBEAT_WAIT` in any case.
-    pub fn expect_revision(&mut self, now: Time, revision: u64) {
-        for feed in self
-            .feeds
-            .iter_mut()
-            .filter(|feed| feed.kind != HEARTBEAT_KIND)
-        {
-            feed.mark_behind(now, revision);
-        }
-    }
-
-    /// Requests a read of each kind that is being watched, because the heartbeat failed and the
-    /// other watches may have failed silently too.
-    pub fn resync_watches(&mut self) {
-        for feed in &mut self.feeds {
-            feed.needs_read |= feed.read_state == ReadState::Watching;
-        }
-    }
-
-    /// Records that a peer has an object of this version. If the object does not arrive within
-    /// `PEER_VERSION_TIMEOUT`, all kinds are read again.
-    pub fn observe_peer_version(&mut self, now: Time, version: u64) {
-        let covered = self.covered_revision();
-        if version > covered {
-            let since = self.missing_version.map_or(now, |(_, since)| since);
-            self.missing_version = Some((version, since));
-        }
-        self.missing_version = self.missing_version.filter(|&(wanted, _)| wanted > covered);
-        if self
-            .missing_version
-            .is_some_and(|(_, since)| now.since(since) >= PEER_VERSION_TIMEOUT)
-        {
-            self.missing_version = None;
-            self.request_reads(now);
-        }
-    }
-
-    /// Requests a read of the heartbeat's kind, unless one is in flight that is answered at once.
-    pub fn request_heartbeat(&mut self, now: Time) {
-        let feed = self.get_mut(HEARTBEAT_KIND);
-        if let Some(feed) = feed.filter(|feed| feed.read_state != ReadState::Fetching) {
-            feed.request_read(now);
-        }
-    }
-
-    /// Requests a read of all kinds, because their state may be stale.
-    pub fn request_reads(&mut self, now: Time) {
-        for feed in &mut self.feeds {
-            feed.request_read(now);
-        }
-    }
-}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -31,6 +31,10 @@
 //! - `table`: routes, pools and backend servers in force, indexed by dense keys.
 //! - `feed`: replication of platform objects: reads, watches, updates from peers and staleness.
 //! - `role`: which balancer reads the platform, and which ones distribute its updates.
+//! - `startup`: whom a starting balancer asks for a snapshot, when it reads the platform itself, and
+//!   whom a balancer with a snapshot serves.
+//! - `snapshot`: the byte form of snapshots.
+//! - `transfer`: the exchange of snapshots.
 //! - `peer`: membership, and the frames that balancers exchange.
 //! - `reach`: whether this balancer's own reads of the platform are answered.
 //! - `contact`: the failure domains from whose balancers frames arrive.
@@ -79,8 +83,10 @@
 pub mod role;
 pub mod select;
 pub mod setting;
+pub mod snapshot;
 pub mod speed;
 pub mod spill;
+pub mod startup;
 pub mod state;
 pub mod table;
 pub mod tick;
@@ -91,5 +97,6 @@
 mod opening;
 mod peer;
 mod report;
+mod transfer;
 
 pub use state::Forwarder;
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -31,6 +31,7 @@
 use crate::setting::Setting;
 use crate::state::Forwarder;
 use crate::tick;
+use crate::transfer;
 
 /// The period of membership probes. Flows do not depend on membership; only cold servers and the
 /// choice of the reader do.
@@ -105,9 +106,7 @@
         Body::Speeds(speeds) => state.apply_speeds(from, &speeds),
         Body::Demand(pools) => report::apply_demand(state, from, &pools),
         Body::DomainDemand(summary) => report::apply_summary(state, from, summary, out),
-        // The other frames are for the balancers of crate `node`, which relay callers' datagrams to
-        // the owner of a backend server, or are fragments, which the driver reassembles.
-        _ => (),
+        body => transfer::handle_frame(state, from, peer, body, out),
     }
 }
 
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -32,8 +32,11 @@
 use crate::report;
 use crate::role::Role;
 use crate::setting::Setting;
+use crate::snapshot;
 use crate::speed::Speeds;
 use crate::spill::Spills;
+use crate::startup::serve;
+use crate::startup::Startup;
 use crate::table;
 use crate::table::Table;
 use crate::tick;
@@ -75,6 +78,12 @@
     /// When the last packet of a caller arrived.
     pub(crate) last_packet_at: Time,
     pub(crate) timers: tick::Timers,
+    /// The start: requests for a snapshot, and reads of the platform.
+    pub(crate) startup: Startup,
+    /// The balancers that are sent a snapshot.
+    pub(crate) server: serve::Server,
+    /// The encoded objects of the last snapshot.
+    pub(crate) snapshot: Option<snapshot::Cache>,
 }
 
 impl Forwarder {
@@ -107,6 +116,9 @@
             repeat_until: Time::default(),
             last_packet_at: now,
             timers: tick::Timers::new(now),
+            startup: Startup::new(now),
+            server: serve::Server::default(),
+            snapshot: None,
         }
     }
 
@@ -138,6 +150,7 @@
             } => tick::handle_read_failure(self, kind, is_history_gone, why, out),
             Event::Candidates(addresses) => peer::add_candidates(self, addresses, out),
             Event::Frame { peer, frame } => peer::handle_frame(self, peer, frame, out),
+            Event::Fragment(peer) => self.startup.record_fragment(now, peer),
             Event::Checked {
                 server,
                 name,
@@ -215,6 +228,11 @@
         has_remote
     }
 
+    /// Returns the rate at which this host may send snapshots, in bytes per second.
+    pub fn snapshot_rate(&self) -> u64 {
+        serve::rate(None)
+    }
+
     /// Returns whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         self.stopping_since.is_some()
--- a/crates/forward/src/tick.rs
+++ b/crates/forward/src/tick.rs
@@ -25,6 +25,7 @@
 use crate::role::Tier;
 use crate::spill;
 use crate::state::Forwarder;
+use crate::transfer;
 
 /// The period of `Event::Tick`.
 pub const PERIOD: Span = Span::millis(25);
@@ -98,6 +99,7 @@
     publish_load(state, out);
     report::publish_restart_hints(state, out);
     exchange_demand(state, out);
+    transfer::answer_waiting(state, out);
     let is_ready = state.is_ready();
     if is_ready != state.was_ready {
         state.was_ready = is_ready;
@@ -214,7 +216,8 @@
 fn start_reads(state: &mut Forwarder, out: &mut Vec<Effect>) {
     let now = state.now;
     let role = state.role;
-    for feed in state.feeds.iter_mut() {
+    let may_read = transfer::step(state, out);
+    for feed in state.feeds.iter_mut().filter(|_| may_read) {
         if let Some(read) = feed.start_due_read(now, role) {
             state.counts.add(count::Kind::Reads);
             out.push(Effect::Read {
--- /dev/null
+++ b/crates/forward/src/transfer.rs
@@ -0,0 +1,178 @@
+//! The exchange of snapshots: requests of balancers that start, and the answers.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use member::codec;
+use member::codec::Piggyback;
+use member::Message;
+use wire::frame::Body;
+use wire::frame::Snapshot;
+
+use crate::count;
+use crate::effect::Effect;
+use crate::feed;
+use crate::peer;
+use crate::snapshot;
+use crate::startup;
+use crate::startup::serve::Answer;
+use crate::state::Forwarder;
+use crate::tick;
+
+/// Asks a peer for a snapshot if one is due while objects of some kind are missing. Returns whether
+/// the platform may be read.
+pub(crate) fn step(state: &mut Forwarder, out: &mut Vec<Effect>) -> bool {
+    if state.feeds.are_synced() {
+        return true;
+    }
+    let step = state
+        .startup
+        .step(state.now, &state.group, &state.setting.seeds);
+    if let Some(to) = step.ask {
+        // The peer may not know this balancer yet, and answers members only.
+        let updates = vec![state.group.local().clone()];
+        let ping = Message::Ping { seq: 0, updates };
+        let piggyback = Piggyback::default();
+        peer::send_frame(state, to, codec::encode(ping, piggyback), out);
+        peer::send_frame(state, to, Body::SnapshotRequest, out);
+    }
+    step.may_read
+}
+
+/// Handles a frame about snapshots.
+pub(crate) fn handle_frame(
+    state: &mut Forwarder,
+    from: Incarnation,
+    peer: SocketAddr,
+    body: Body,
+    out: &mut Vec<Effect>,
+) {
+    let sender = state.group.get(from);
+    let is_member = sender.is_some_and(|member| member.state.is_live());
+    match body {
+        Body::SnapshotRequest if is_member => {
+            let domain = sender.map(|member| member.domain.clone());
+            match state.feeds.are_synced() {
+                true => answer(state, peer, out),
+                false => refer(state, from, peer, &domain.unwrap_or_default(), out),
+            }
+        }
+        Body::SnapshotBusy {
+            wait_ms,
+            peer: named,
+        } if is_member => {
+            let wait = Span::millis(wait_ms.into());
+            state.startup.record_busy(state.now, peer, wait, named);
+        }
+        Body::Snapshot(snapshot) if is_member => apply(state, from, peer, &snapshot, out),
+        Body::SnapshotRequest | Body::SnapshotBusy { .. } | Body::Snapshot(_) => {
+            state.counts.add(count::Kind::SnapshotsRejected);
+        }
+        // The other frames are for the balancers of crate `node`, which relay callers' datagrams to
+        // the owner of a backend server, or are fragments, which the driver reassembles.
+        _ => (),
+    }
+}
+
+/// Answers a request while there is no snapshot here: the sender is remembered, and told that this
+/// balancer is reading the platform, or that another one is the first of its failure domain.
+fn refer(
+    state: &mut Forwarder,
+    from: Incarnation,
+    to: SocketAddr,
+    domain: &str,
+    out: &mut Vec<Effect>,
+) {
+    state.server.record_waiting(state.now, to);
+    let is_reading = domain == state.setting.domain && state.feeds.are_being_read();
+    let first = state.group.alive_in(domain).next();
+    let first = first.filter(|first| first.incarnation < from);
+    let first = first.map(|first| (first.incarnation, first.peer.datagram));
+    let (wait, peer) = match first {
+        _ if is_reading => (startup::REQUEST_PERIOD, None),
+        Some((first, at)) if first != state.incarnation() => (Span::ZERO, Some(at)),
+        Some(_) => (Span::ZERO, None),
+        None => return,
+    };
+    send_busy(state, to, wait, peer, out);
+}
+
+fn send_busy(
+    state: &mut Forwarder,
+    to: SocketAddr,
+    wait: Span,
+    peer: Option<SocketAddr>,
+    out: &mut Vec<Effect>,
+) {
+    let wait_ms = u16::try_from(wait.as_millis()).unwrap_or(u16::MAX);
+    peer::send_frame(state, to, Body::SnapshotBusy { wait_ms, peer }, out);
+}
+
+/// Answers a request for a snapshot.
+fn answer(state: &mut Forwarder, to: SocketAddr, out: &mut Vec<Effect>) {
+    let now = state.now;
+    let Some(snapshot) = snapshot::encode(now, &state.feeds, &mut state.snapshot) else {
+        return;
+    };
+    let rate = state.snapshot_rate();
+    match state.server.answer(now, to, snapshot.objects.len(), rate) {
+        Answer::Snapshot => {
+            state.counts.add(count::Kind::Snapshots);
+            peer::send_frame(state, to, Body::Snapshot(snapshot), out);
+        }
+        // Not at once: no time at all means that there is no snapshot here.
+        Answer::Busy(wait, peer) => send_busy(state, to, wait.max(Span::millis(1)), peer, out),
+    }
+}
+
+/// Answers the balancers that asked before objects of all kinds were here.
+pub(crate) fn answer_waiting(state: &mut Forwarder, out: &mut Vec<Effect>) {
+    if !state.feeds.are_synced() {
+        return;
+    }
+    for to in state.server.take_waiting(state.now) {
+        answer(state, to, out);
+    }
+}
+
+/// Puts a snapshot in force that was requested and still is needed.
+fn apply(
+    state: &mut Forwarder,
+    from: Incarnation,
+    peer: SocketAddr,
+    snapshot: &Snapshot,
+    out: &mut Vec<Effect>,
+) {
+    let now = state.now;
+    if state.feeds.are_synced() {
+        return;
+    }
+    let requested_at = state.startup.request_time(now, peer);
+    let (Some(requested_at), Ok(mut objects)) = (requested_at, snapshot::decode(snapshot)) else {
+        return state.counts.add(count::Kind::SnapshotsRejected);
+    };
+    // It may have been under way since just after the request.
+    let transfer = now.since(requested_at);
+    for entry in &snapshot.kinds {
+        let Ok(kind) = conf::object::parse_kind(&entry.kind) else {
+            continue;
+        };
+        let objects = objects.remove(&entry.kind).unwrap_or_default();
+        let age = Span(entry.age.0.saturating_add(transfer.0));
+        let Some(feed) = state.feeds.get_mut(kind) else {
+            continue;
+        };
+        let update = feed::Update {
+            since: 0,
+            upto: entry.upto,
+            age,
+            is_remote: false,
+            objects: &objects,
+        };
+        let change = feed.apply_snapshot(now, &update);
+        tick::apply_change(state, kind, change, Some(from), out);
+    }
+    if !state.feeds.are_synced() {
+        state.startup.record_unconfirmed(now);
+    }
+}
--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod replication;
 mod sim;
 mod spill;
+mod startup;
 mod table;
 mod token;
 mod uneven;
--- a/crates/forward/tests/all/sim/driver.rs
+++ b/crates/forward/tests/all/sim/driver.rs
@@ -35,6 +35,10 @@
                 via,
             } => self.handle_server_packet(server, identity, &head, via),
             Task::CallerPacket(packet) => self.handle_caller_packet(packet),
+            Task::SendFragments(balancer, incarnation) => {
+                self.send_fragments(balancer, incarnation)
+            }
+            Task::Fragment { to, from } => self.receive_fragment(to, from),
             Task::Frame { to, from, frame } => {
                 let peer = super::peer_address(from);
                 let frame = *frame;
@@ -240,6 +244,19 @@
                 if is_isolated || self.is_link_blocked(here, there) || self.is_packet_lost() {
                     return;
                 }
+                let is_unknown = matches!(
+                    frame.body,
+                    wire::frame::Body::SnapshotRequest
+                        | wire::frame::Body::SnapshotBusy { .. }
+                        | wire::frame::Body::Snapshot(_)
+                );
+                let mut ends = [balancer, to].into_iter();
+                if is_unknown && ends.any(|end| self.old_releases.contains(&end)) {
+                    return;
+                }
+                if self.queue_frame(balancer, to, &frame) {
+                    return;
+                }
                 let from = balancer;
                 let latency = self.link_latency(here, there);
                 for delay in self.demand_delays(balancer, &frame) {
--- a/crates/forward/tests/all/sim/mod.rs
+++ b/crates/forward/tests/all/sim/mod.rs
@@ -6,6 +6,7 @@
 
 mod caller;
 mod driver;
+mod link;
 mod server;
 mod store;
 
@@ -116,6 +117,11 @@
         via: usize,
     },
     CallerPacket(caller::Packet),
+    SendFragments(usize, u32),
+    Fragment {
+        to: usize,
+        from: usize,
+    },
     Frame {
         to: usize,
         from: usize,
@@ -175,6 +181,10 @@
     pub(crate) surges: BTreeMap<usize, f64>,
     /// The frames about demand.
     pub(crate) demand_link: DemandLink,
+    /// The balancers whose release does not know frames about snapshots.
+    pub(crate) old_releases: BTreeSet<usize>,
+    /// The links of the balancers' hosts; `None` if frames take no time to send.
+    pub(crate) links: Option<link::Links>,
     /// The domains whose callers start no requests.
     pub(crate) quiet_domains: BTreeSet<usize>,
     /// The health checks that balancers started: the time, the balancer and the server's name.
@@ -256,6 +266,8 @@
             domains,
             surges: BTreeMap::new(),
             demand_link: DemandLink::default(),
+            old_releases: BTreeSet::new(),
+            links: None,
             quiet_domains: BTreeSet::new(),
             checks: Vec::new(),
             flows_per_domain: 0,
--- a/crates/forward/tests/all/sim/store.rs
+++ b/crates/forward/tests/all/sim/store.rs
@@ -45,6 +45,30 @@
     pub(crate) unanswered_balancers: BTreeSet<usize>,
     /// The number of reads that balancers started.
     pub(crate) calls: u64,
+    /// These reads.
+    pub(crate) reads: Vec<Read>,
+}
+
+/// A read that a balancer started.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Read {
+    pub(crate) at: Time,
+    pub(crate) balancer: usize,
+    pub(crate) kind: Kind,
+    pub(crate) since: u64,
+    pub(crate) wait: Span,
+}
+
+impl Read {
+    /// Returns the kind of the call: a listing, a watch, or a read of the changes that is answered
+    /// at once.
+    pub(crate) fn call(&self) -> &'static str {
+        match (self.since, self.wait) {
+            (0, _) => "listing",
+            (_, Span::ZERO) => "changes",
+            _ => "watch",
+        }
+    }
 }
 
 /// A read that is held until there is a change.
@@ -248,6 +272,13 @@
 
     pub(super) fn handle_read(&mut self, balancer: usize, kind: Kind, since: u64, wait: Span) {
         self.store.calls += 1;
+        self.store.reads.push(Read {
+            at: self.now,
+            balancer,
+            kind,
+            since,
+            wait,
+        });
         let state = &mut self.balancers[balancer];
         let read = state.reads.entry(kind).or_default();
         *read += 1;
@@ -290,7 +321,12 @@
                 upto: self.store.revision,
                 objects: self.objects_of(kind),
             };
-            return self.schedule_result(&watch, event, READ_LATENCY);
+            let listed = match &event {
+                Event::Objects { objects, .. } => objects.len(),
+                _ => 0,
+            };
+            let wait = Span(READ_LATENCY.0 + self.listing_time(balancer, listed).0);
+            return self.schedule_result(&watch, event, wait);
         }
         let is_answered = since < self.store.history_floor || !self.changes_for(&watch).is_empty();
         // A stalled watch does not deliver earlier changes either.
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -95,7 +95,10 @@
         | Body::Fragment(_)
         | Body::Speeds(_)
         | Body::Demand(_)
-        | Body::DomainDemand(_) => (),
+        | Body::DomainDemand(_)
+        | Body::SnapshotRequest
+        | Body::SnapshotBusy { .. }
+        | Body::Snapshot(_) => (),
     }
 }
 
--- a/crates/node/src/text.rs
+++ b/crates/node/src/text.rs
@@ -98,6 +98,11 @@
                 let (domain, pools) = (&summary.domain, summary.pools.len());
                 write!(f, "summary of {domain}, {pools} pools")
             }
+            Body::SnapshotRequest => f.write_str("request for a snapshot"),
+            Body::SnapshotBusy { wait_ms, .. } => write!(f, "busy for {wait_ms} ms"),
+            Body::Snapshot(snapshot) => {
+                write!(f, "snapshot of {} bytes", snapshot.objects.len())
+            }
         }
     }
 }
--- a/crates/shell/src/packets.rs
+++ b/crates/shell/src/packets.rs
@@ -13,6 +13,7 @@
 
 pub mod batch;
 pub mod fragment;
+pub mod queue;
 pub mod run;
 pub mod setting;
 mod signal;
--- a/crates/shell/src/packets/batch.rs
+++ b/crates/shell/src/packets/batch.rs
@@ -15,6 +15,8 @@
 use nix::sys::socket::recvmmsg;
 use nix::sys::socket::sendmmsg;
 use nix::sys::socket::sendto;
+use nix::sys::socket::setsockopt;
+use nix::sys::socket::sockopt;
 use nix::sys::socket::ControlMessage;
 use nix::sys::socket::MsgFlags;
 use nix::sys::socket::MultiHeaders;
@@ -82,6 +84,15 @@
         })
     }
 
+    /// Enlarges the receive buffer, as far as the system permits.
+    pub fn with_receive_buffer(self, bytes: usize) -> Socket {
+        // A smaller buffer loses more of a burst; the sender is asked again.
+        if let Err(error) = setsockopt(&self.socket, sockopt::RcvBuf, &bytes) {
+            tracing::debug!(event = "receive-buffer", %error);
+        }
+        self
+    }
+
     /// Returns the bound address.
     pub fn local(&self) -> SocketAddr {
         self.local
--- a/crates/shell/src/packets/fragment.rs
+++ b/crates/shell/src/packets/fragment.rs
@@ -24,14 +24,17 @@
 const FRAME_BYTES_MAX: usize = FRAGMENTS_MAX * FRAGMENT_BYTES_MAX * 4;
 /// Bytes of the prefix of a compressed frame, which holds its uncompressed length.
 const LENGTH_PREFIX_BYTES: usize = 4;
-/// Most fragments that are sent in one tick: larger bursts overflow the socket buffer of a peer
-/// that is starting.
-pub const TICK_FRAGMENTS_MAX: usize = 8;
 /// Most fragments that are queued for sending.
 pub const QUEUE_FRAGMENTS_MAX: usize = 2_048;
 /// Most senders for which an incomplete frame is kept.
 pub const SENDERS_MAX: usize = 16;
 
+/// Returns the number of fragments to send in one tick at a rate in bytes per second.
+pub fn tick_fragments(rate: u64) -> usize {
+    let bytes = rate * forward::tick::PERIOD.0 / 1_000_000;
+    (bytes as usize / FRAGMENT_BYTES_MAX).max(1)
+}
+
 /// Returns the datagrams that carry a frame, or none when the frame exceeds what a peer accepts.
 pub fn split_frame(frame: &Frame, id: u32) -> Vec<Vec<u8>> {
     let encoded = seal::encode(frame);
--- a/crates/shell/src/packets/run.rs
+++ b/crates/shell/src/packets/run.rs
@@ -1,7 +1,6 @@
 //! The packet-forwarding process: one event loop owns the reducer, passes packets and events to it
 //! and performs its effects.
 
-use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
@@ -31,6 +30,7 @@
 use crate::metric::Transport;
 use crate::packets::batch::Socket;
 use crate::packets::fragment::Reassembler;
+use crate::packets::queue::Queue;
 use crate::packets::setting::Setting;
 use crate::packets::signal::Signals;
 use crate::packets::source::Tasks;
@@ -53,6 +53,10 @@
 /// Capacity of the queue of admin queries for the loop.
 const QUERY_QUEUE_LENGTH: usize = 16;
 
+/// Receive buffer for frames of peers. It holds what two peers send of their snapshots while the
+/// host does not run for 100 ms because of its processor quota; the system allows no more by default.
+const PEER_BUFFER_BYTES: usize = 212_992;
+
 /// Reads and validates the settings again. The error text lists the faults.
 pub type Reload = Box<dyn Fn() -> Result<Setting, String>>;
 
@@ -90,6 +94,7 @@
         let entry = Socket::bind(setting.entry).map_err(bind_error("entry", setting.entry))?;
         let peer = setting.peer_bind;
         let peers = Socket::bind(peer).map_err(bind_error("peer-bind", peer))?;
+        let peers = peers.with_receive_buffer(PEER_BUFFER_BYTES);
         let admin = Admin::bind(setting.forward.admin, query_sender, metric.clone()).await?;
         Ok(Shell {
             setting,
@@ -170,7 +175,7 @@
     /// Identifier of the last frame sent, which its fragments carry.
     frame_id: u32,
     /// Fragments of long frames that wait to be sent.
-    send_queue: VecDeque<(SocketAddr, Vec<u8>)>,
+    send_queue: Queue,
     file_modified: Option<SystemTime>,
     /// Whether packets are received. Until the reducer can route them, they stay in the socket's
     /// buffer.
@@ -196,7 +201,7 @@
             effects: Vec::new(),
             reassembler: Reassembler::default(),
             frame_id: 0,
-            send_queue: VecDeque::new(),
+            send_queue: Queue::default(),
             file_modified: modified_time(&shell),
             is_serving: false,
             start: now,
@@ -337,7 +342,12 @@
                     let event = Event::Frame { peer, frame };
                     self.reducer.step(now, event, &mut self.effects);
                 }
-                Ok(None) => (),
+                // Fragments matter only to a balancer that waits for a snapshot.
+                Ok(None) if self.reducer.can_serve() => (),
+                Ok(None) => {
+                    let event = Event::Fragment(peer);
+                    self.reducer.step(now, event, &mut self.effects);
+                }
                 Err(code) => self.shell.metric.count_drops(code, 1),
             }
         }
--- a/crates/shell/src/packets/run/send.rs
+++ b/crates/shell/src/packets/run/send.rs
@@ -40,20 +40,15 @@
         match datagrams.len() {
             0 => tracing::warn!(event = "frame-too-long", %to),
             1 => self.send_datagram(to, &datagrams.remove(0)),
-            count if self.send_queue.len() + count <= fragment::QUEUE_FRAGMENTS_MAX => {
-                self.send_queue
-                    .extend(datagrams.into_iter().map(|datagram| (to, datagram)));
-            }
+            _ if self.send_queue.push(to, datagrams) => (),
             _ => tracing::warn!(event = "frame-left-out", %to),
         }
     }
 
     /// Sends queued fragments, up to the limit for one tick.
     pub(super) fn send_queued_fragments(&mut self) {
-        for _ in 0..fragment::TICK_FRAGMENTS_MAX {
-            let Some((to, bytes)) = self.send_queue.pop_front() else {
-                return;
-            };
+        let limit = fragment::tick_fragments(self.reducer.snapshot_rate());
+        for (to, bytes) in self.send_queue.take(limit) {
             self.send_datagram(to, &bytes);
         }
     }
--- a/crates/shell/tests/packets.rs
+++ b/crates/shell/tests/packets.rs
@@ -11,6 +11,8 @@
 use shell::packets::fragment::Reassembler;
 use shell::packets::fragment::DATAGRAM_BYTES_MAX;
 use shell::packets::fragment::SENDERS_MAX;
+use shell::packets::queue::Queue;
+use shell::packets::queue::PEER_TICK_FRAGMENTS_MAX;
 use shell::packets::setting::Raw;
 use shell::packets::setting::Setting;
 use shell::packets::source::LoggedFaults;
@@ -270,3 +272,35 @@
         assert!(faults.insert(&entry(&format!("j-{number}"), 7)));
     }
 }
+
+/// Guards against a snapshot that holds up the next one, so that its receiver asks others, and
+/// against bursts that overflow the socket buffer of a starting peer.
+#[test]
+fn frames_to_two_peers_are_sent_in_turn() {
+    let [one, two] = [1, 2].map(|port| std::net::SocketAddr::from(([127, 0, 0, 1], port)));
+    let fragments = |first: u8| (first..first + 20).map(|byte| vec![byte]).collect();
+    let mut queue = Queue::default();
+    assert!(queue.push(one, fragments(0)) && queue.push(two, fragments(100)));
+    assert!(queue.push(one, fragments(20)));
+    let sent = queue.take(6);
+    assert_eq!(sent.iter().filter(|(to, _)| *to == two).count(), 3);
+    let mut to_one: Vec<u8> = Vec::new();
+    let mut all = sent;
+    while let Some(more) = Some(queue.take(100)).filter(|more| !more.is_empty()) {
+        for to in [one, two] {
+            let count = more.iter().filter(|(other, _)| *other == to).count();
+            assert!(count <= PEER_TICK_FRAGMENTS_MAX, "{count} in a tick");
+        }
+        all.extend(more);
+    }
+    to_one.extend(
+        all.iter()
+            .filter(|(to, _)| *to == one)
+            .map(|(_, bytes)| bytes[0]),
+    );
+    assert_eq!(
+        to_one,
+        (0..40).collect::<Vec<u8>>(),
+        "a peer's frames keep their order"
+    );
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -105,6 +105,37 @@
     Demand(Vec<PoolDemand>),
     /// Demand and occupancy of a failure domain, to the balancers of the other ones.
     DomainDemand(DomainDemand),
+    /// Requests a snapshot of all objects, for a balancer that has none.
+    SnapshotRequest,
+    /// Answers a request for a snapshot that is not served now.
+    SnapshotBusy {
+        /// Time after which to ask again, in milliseconds.
+        wait_ms: u16,
+        /// The peer to ask then, which is being sent a snapshot now; `None` for the sender.
+        peer: Option<SocketAddr>,
+    },
+    /// All objects of all kinds.
+    Snapshot(Snapshot),
+}
+
+/// All objects of all kinds, as known to the sender.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The kinds, each with its revision.
+    pub kinds: Vec<SnapshotKind>,
+    /// The objects as texts, encoded by `column`.
+    pub objects: Bytes,
+}
+
+/// The state of one kind in a snapshot.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SnapshotKind {
+    /// Name of the kind.
+    pub kind: String,
+    /// Revision up to which all objects are included.
+    pub upto: u64,
+    /// Time since the platform confirmed that revision.
+    pub age: Span,
 }
 
 /// Load report of a balancer that forwards packets. It replaces the sender's earlier report.
