--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -16,7 +16,7 @@
 
 use crate::role::Role;
 use crate::role::Tier;
-use crate::startup::SNAPSHOT_AGE_MAX;
+use crate::startup;
 
 mod set;
 
@@ -318,7 +318,7 @@
 
     /// Applies a snapshot of all objects that a peer sent to this starting balancer. One that is
     /// older than the local state changes nothing; one whose confirmation is older than
-    /// `SNAPSHOT_AGE_MAX` does not count as received before the next confirmation.
+    /// `startup::snapshot_age_max` does not count as received before the next confirmation.
     pub fn apply_snapshot(&mut self, now: Time, update: &Update<'_>) -> Change {
         let current = self.store.revision();
         let change = self.store.apply(update.objects, 0, update.upto);
@@ -330,7 +330,7 @@
         self.gap_since = None;
         self.gap_revision = 0;
         self.clear_behind();
-        if update.age > SNAPSHOT_AGE_MAX {
+        if update.age > startup::snapshot_age_max(self.kind) {
             self.unconfirmed_at = Some(now - update.age);
             return change;
         }
--- a/crates/forward/src/feed/set.rs
+++ b/crates/forward/src/feed/set.rs
@@ -87,9 +87,15 @@
             .is_some_and(|feed| feed.can_vouch(now, role))
     }
 
-    /// Marks the feeds that are behind the revision that an answer showed. The heartbeat feed is
-    /// left out: its watch ends within `HEARTBEAT_WAIT` in any case.
+    /// Marks the feeds that are behind the revision that an answer showed, and confirms those that
+    /// have reached it. The heartbeat feed is not marked: its watch ends within `HEARTBEAT_WAIT` in
+    /// any case.
     pub fn expect_revision(&mut self, now: Time, revision: u64) {
+        for feed in &mut self.feeds {
+            if feed.is_synced() && feed.store.revision() >= revision {
+                feed.confirmed_at = Some(now);
+            }
+        }
         for feed in self
             .feeds
             .iter_mut()
--- a/crates/forward/src/startup.rs
+++ b/crates/forward/src/startup.rs
@@ -10,9 +10,12 @@
 
 use base::hash;
 use base::prelude::*;
+use conf::object::Kind;
 use member::Group;
 use member::Member;
 
+use crate::feed;
+
 pub mod serve;
 
 /// The time without an answer, or without a further fragment, after which the next peer is asked.
@@ -39,10 +42,6 @@
 /// How long a snapshot is accepted after its request. It bounds the age of a snapshot that was long
 /// under way.
 pub const REQUEST_LIFETIME: Span = Span::secs(3);
-/// The oldest confirmation by the platform with which a snapshot is put in force at once. It is the
-/// bound up to which peers publish watermarks. An older one first needs a confirmation: a watermark,
-/// a read, or a read that fails, which shows that no balancer can know more.
-pub const SNAPSHOT_AGE_MAX: Span = crate::feed::WATERMARK_AGE_MAX;
 /// How long watermarks have to confirm a snapshot: the longest period of watermarks, and the way.
 pub const CONFIRMATION_WAIT: Span = Span::millis(500);
 /// Every how many requests a peer of any failure domain is asked, beginning with the third one.
@@ -228,6 +227,17 @@
     }
 }
 
+/// Returns the oldest confirmation by the platform with which a snapshot is put in force at once: the
+/// bound up to which peers publish watermarks, and for failure domains the time that a change of
+/// another kind may hide one of theirs. An older one first needs a confirmation: a watermark, a read,
+/// or a read that fails, which shows that this balancer cannot know more.
+pub fn snapshot_age_max(kind: Kind) -> Span {
+    match kind {
+        Kind::Domain => Span(feed::WATERMARK_AGE_MAX.0 + feed::DOMAIN_CATCH_UP_TIMEOUT.0),
+        _ => feed::WATERMARK_AGE_MAX,
+    }
+}
+
 /// Returns the time without an answer after which a balancer reads the platform.
 fn read_delay(rank: u64, is_answered: bool) -> Span {
     if rank == 0 && !is_answered {
--- a/crates/forward/tests/all/sim/link.rs
+++ b/crates/forward/tests/all/sim/link.rs
@@ -43,6 +43,15 @@
     fragments_left: u64,
 }
 
+impl Links {
+    /// Returns the balancer that is sending another one a frame in fragments.
+    pub(crate) fn sender_to(&self, to: usize) -> Option<usize> {
+        let mut queues = self.queues.iter();
+        let found = queues.find(|(_, queue)| queue.iter().any(|transfer| transfer.to == to));
+        found.map(|(sender, _)| *sender)
+    }
+}
+
 impl Simulation {
     /// Counts a frame, and queues it if it does not fit a datagram. Returns whether it was queued.
     pub(super) fn queue_frame(&mut self, balancer: usize, to: usize, frame: &Frame) -> bool {
