--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -19,6 +19,7 @@
 mod replication;
 mod sim;
 mod spill;
+mod startup;
 mod table;
 mod token;
 mod uneven;
--- a/crates/forward/tests/all/sim/driver.rs
+++ b/crates/forward/tests/all/sim/driver.rs
@@ -38,6 +38,10 @@
                 via,
             } => self.handle_server_packet(server, identity, &head, via),
             Task::CallerPacket(packet) => self.handle_caller_packet(packet),
+            Task::SendFragments(balancer, incarnation) => {
+                self.send_fragments(balancer, incarnation)
+            }
+            Task::Fragment { to, from } => self.receive_fragment(to, from),
             Task::Frame { to, from, frame } => {
                 let peer = super::peer_address(from);
                 let frame = *frame;
@@ -276,6 +280,19 @@
                 {
                     return;
                 }
+                let is_unknown = matches!(
+                    frame.body,
+                    wire::frame::Body::SnapshotRequest
+                        | wire::frame::Body::SnapshotBusy { .. }
+                        | wire::frame::Body::Snapshot(_)
+                );
+                let mut ends = [balancer, to].into_iter();
+                if is_unknown && ends.any(|end| self.old_releases.contains(&end)) {
+                    return;
+                }
+                if self.queue_frame(balancer, to, &frame) {
+                    return;
+                }
                 let from = balancer;
                 let latency = self.link_latency(here, there);
                 for delay in self.demand_delays(balancer, &frame) {
--- a/crates/node/src/text.rs
+++ b/crates/node/src/text.rs
@@ -99,6 +99,11 @@
                 write!(f, "summary of {domain}, {pools} pools")
             }
             Body::HostUse(announced) => write!(f, "host used to {}%", announced.percent),
+            Body::SnapshotRequest => f.write_str("request for a snapshot"),
+            Body::SnapshotBusy { wait_ms, .. } => write!(f, "busy for {wait_ms} ms"),
+            Body::Snapshot(snapshot) => {
+                write!(f, "snapshot of {} bytes", snapshot.objects.len())
+            }
         }
     }
 }
