wasabictl: the tests of load keep the port of an ended balancer

balancers_that_do_not_answer_are_listed failed once: the port of a listener that it had closed was taken by another test, whose page answered. A bound socket that does not listen keeps the port. The golden files are unchanged.

--- a/crates/wasabictl/src/args.rs
+++ b/crates/wasabictl/src/args.rs
@@ -148,7 +148,7 @@
         #[bpaf(
             long,
             argument("HOST:PORT"),
-            guard(is_host_port, "must be HOST:PORT"),
+            guard(|text| is_host_port(text), "must be HOST:PORT"),
             optional
         )]
         admin: Option<String>,
@@ -250,7 +250,7 @@
     *timeout_s <= TIMEOUT_MAX_S
 }
 
-fn is_host_port(text: &String) -> bool {
+fn is_host_port(text: &str) -> bool {
     let is_host = |host: &str| !host.is_empty() && !host.contains(['/', '@', '?', '#']);
     let parts = text.rsplit_once(':');
     parts.is_some_and(|(host, port)| is_host(host) && port.parse::<u16>().is_ok())
--- a/crates/wasabictl/tests/all/load.rs
+++ b/crates/wasabictl/tests/all/load.rs
@@ -10,6 +10,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 
 use crate::harness::run;
 use crate::harness::Harness;
@@ -39,6 +40,18 @@
         }
     }
 
+    /// Adds a balancer whose port refuses connections. The socket that is returned keeps the port
+    /// from being used by another test.
+    fn add_ended(&mut self, name: &str, domain: &str) -> (TcpSocket, SocketAddr) {
+        let socket = TcpSocket::new_v4().expect("a socket can be made");
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        socket.bind(any).expect("a loopback port is free");
+        let admin = socket.local_addr().expect("it is bound");
+        let balancer = json!({ "name": name, "domain": domain, "admin": admin });
+        self.balancers.push(balancer);
+        (socket, admin)
+    }
+
     fn admin(&self, index: usize) -> SocketAddr {
         self.listeners[index].local_addr().expect("it is bound")
     }
@@ -172,12 +185,12 @@
 /// hiding the others, or being left out in silence.
 #[tokio::test]
 async fn balancers_that_do_not_answer_are_listed() {
-    let names = ["a1", "a2", "a3", "a4", "a5"].map(|name| (name, "mazowsze-a"));
+    let names = ["a1", "a2", "a3", "a4"].map(|name| (name, "mazowsze-a"));
     let mut fleet = Fleet::new(&names).await;
-    let admins = [0, 1, 2, 3, 4].map(|index| fleet.admin(index));
+    let (_socket, ended) = fleet.add_ended("a5", "mazowsze-a");
+    let mut admins = [0, 1, 2, 3].map(|index| fleet.admin(index)).to_vec();
+    admins.push(ended);
     let page = fleet.page(0, json!([]));
-    // Nothing listens at the last address any more.
-    drop(fleet.listeners.pop());
     fleet.serve(vec![
         Some(("200 OK", page)),
         None,
@@ -195,10 +208,9 @@
 /// Guards against a wrong exit code or an unclear message where there is nobody to ask.
 #[tokio::test]
 async fn load_needs_a_balancer_that_answers() {
-    let fleet = Fleet::new(&[("a1", "mazowsze-a")]).await;
-    let admins = [fleet.admin(0)];
-    drop(fleet.listeners);
-    let fleet = Fleet::new(&[]).await;
+    let mut fleet = Fleet::new(&[]).await;
+    let (_socket, ended) = fleet.add_ended("a1", "mazowsze-a");
+    let admins = [ended];
     let lines = ["load --admin ADMIN", "load", "load --admin nowhere"];
     let mut text = fleet.run_session(&admins, &lines).await;
     let harness = Harness::new().await;
