forward, shell: metrics by priority and kind of route

Operators could not see from the metrics which callers wait or are refused. wasabi_answer_time and wasabi_request_time record the time from the opening packet, or from the data of a later request, to the first part of the answer and to its end; wasabi_route_flows counts offered and refused flows. The labels are the priority (0 to 3, 3 for all greater ones) and the kind, so that there are at most 16 sets. A flow has two more fields, for the start of its request and the last acknowledgement of the answer.

The process test reads /load and the new counter, and gives the admin page a port of its own, since the page names the configured address. The simulation's driver ignores the new effect.

--- a/crates/forward/src/effect.rs
+++ b/crates/forward/src/effect.rs
@@ -9,6 +9,8 @@
 use wire::frame::Frame;
 
 use crate::note::Note;
+use crate::observation::Class;
+use crate::observation::Observation;
 use crate::packet::Head;
 
 /// An output of the reducer.
@@ -64,6 +66,13 @@
         /// Time since the first opening packet.
         lasted: Span,
     },
+    /// Record what happened to a flow.
+    Observed {
+        /// The class of the flow.
+        class: Class,
+        /// What happened.
+        observation: Observation,
+    },
     /// Write a log record.
     Note(Note),
     /// End the process: the planned stop is complete.
--- a/crates/forward/src/established.rs
+++ b/crates/forward/src/established.rs
@@ -13,6 +13,7 @@
 use crate::flow::REQUEST_TIMEOUT;
 use crate::load;
 use crate::note::Note;
+use crate::observation::Observation;
 use crate::packet::Flags;
 use crate::packet::Head;
 use crate::packet::Verdict;
@@ -73,6 +74,9 @@
     }
     if head.flags.fin || head.flags.rst {
         if let Some(flow) = state.remove_flow(id) {
+            if let Some(took) = flow.request_time() {
+                state.observe(id, Observation::Ended(took), out);
+            }
             let lasted = now.since(flow.opened_at);
             out.push(Effect::Closed { lasted });
         }
@@ -111,6 +115,7 @@
 
 /// Handles a packet without data: the caller has received a part of the response.
 fn handle_acknowledgement(state: &mut Forwarder, id: Id, head: &Head, out: &mut Vec<Effect>) {
+    let now = state.now;
     let flow = flow_mut(state, id);
     if flow.ack == head.ack {
         return;
@@ -119,7 +124,15 @@
     flow.ack = head.ack;
     let was_busy = std::mem::take(&mut flow.is_busy);
     let was_due = std::mem::take(&mut flow.awaits_answer);
+    // The first acknowledgement of a flow may be that of the handshake.
+    let first = match was_due || was_busy || flow.answered_at.is_some() {
+        true => flow.record_answer(now),
+        false => None,
+    };
     let flow = *flow;
+    if let Some(took) = first {
+        state.observe(id, Observation::Answered(took), out);
+    }
     if was_due {
         observe_answer(state, id, &flow, size, was_busy);
     }
@@ -185,6 +198,14 @@
     let (moves, opened_at, basis) = (flow.moves, flow.opened_at, flow.basis);
     flow.is_resent = is_repeated;
     let was_due = std::mem::replace(&mut flow.awaits_answer, true);
+    // Data after an answer is the next request.
+    let ended = match is_logged && !was_due {
+        true => flow.start_request(now),
+        false => None,
+    };
+    if let Some(took) = ended {
+        state.observe(id, Observation::Ended(took), out);
+    }
     state.table.server_mut(server).requests += u32::from(!was_busy);
     time_request(state, id, server);
     if is_logged && !was_due {
--- a/crates/forward/src/flow.rs
+++ b/crates/forward/src/flow.rs
@@ -109,6 +109,10 @@
     pub has_logged_request: bool,
     /// The data behind the selection of its server.
     pub basis: Basis,
+    /// When its latest request started: with its opening packet, or with data after an answer.
+    pub request_at: Time,
+    /// When the caller last acknowledged a part of the answer to that request.
+    pub answered_at: Option<Time>,
 }
 
 /// What has expired of a flow.
@@ -186,6 +190,8 @@
             moves: 0,
             has_logged_request: false,
             basis: Basis::default(),
+            request_at: now,
+            answered_at: None,
         }
     }
 
@@ -200,6 +206,27 @@
         self.data_seq.wrapping_sub(seq) < u32::MAX / 2
     }
 
+    /// Records that the caller has received a part of the answer. Returns the time since the start
+    /// of the request if it is the first part.
+    pub fn record_answer(&mut self, now: Time) -> Option<Span> {
+        let is_first = self.answered_at.replace(now).is_none();
+        is_first.then(|| now.since(self.request_at))
+    }
+
+    /// Starts the next request. Returns how long the previous one took, if it was answered.
+    pub fn start_request(&mut self, now: Time) -> Option<Span> {
+        let took = self.request_time();
+        self.request_at = now;
+        self.answered_at = None;
+        took
+    }
+
+    /// Returns the time from the start of the request to the end of its answer, as far as it has
+    /// arrived.
+    pub fn request_time(&self) -> Option<Span> {
+        self.answered_at.map(|at| at.since(self.request_at))
+    }
+
     fn expires_at(&self) -> Time {
         match (self.phase, self.is_busy) {
             (Phase::Opening, _) => self.opening_sent_at + OPENING_TIMEOUT,
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -55,6 +55,7 @@
 //! - `note`: log records of decisions.
 //! - `count`: counters.
 //! - `dump`: the state as text.
+//! - `observation`: what metrics record of flows, by priority and kind of route.
 //! - `shortage`: the pools that were short of capacity in the last minute.
 //! - `overview`: the admin page about them.
 //! - `setting`: settings and their defaults.
@@ -77,6 +78,7 @@
 pub mod load;
 pub mod loss;
 pub mod note;
+pub mod observation;
 pub mod overview;
 pub mod packet;
 pub mod patch;
--- a/crates/forward/src/opening.rs
+++ b/crates/forward/src/opening.rs
@@ -12,6 +12,7 @@
 use crate::flow::Id;
 use crate::flow::Phase;
 use crate::note::Note;
+use crate::observation::Observation;
 use crate::packet::Head;
 use crate::packet::Verdict;
 use crate::packet::NETWORK_DUPLICATE_WINDOW;
@@ -53,6 +54,7 @@
         if head.ack == 0 {
             state.demands.record_opening(state.now, pool, priority);
             state.shortages.record_opening(state.now, pool, priority);
+            state.observe(id, Observation::Offered, out);
         }
         let is_controlled = state.table.pool(pool).has_priorities;
         // Selection defers a copy of an opening packet that never came here while no slot is free.
@@ -74,9 +76,7 @@
             defer_packet(state, id, head.ack, Code::FlowHeld, out)
         }
         Selection::ColdLimited | Selection::Unavailable => {
-            if let Some(pool) = pool {
-                state.shortages.record_refusal(state.now, pool, priority);
-            }
+            record_refusal(state, id, pool.map(|pool| (pool, priority)), out);
             refuse_flow(state, id, Code::NoServer, out)
         }
     }
@@ -115,7 +115,7 @@
         Decision::Refused(basis) => (basis, false),
     };
     if !is_admitted {
-        state.shortages.record_refusal(state.now, pool, priority);
+        record_refusal(state, id, Some((pool, priority)), out);
     }
     state.shortages.record_decision(state.now, pool, basis);
     state.counts.add(match is_admitted {
@@ -130,6 +130,19 @@
     is_admitted
 }
 
+/// Counts a refused flow, by the pool and priority of its route if it has a pool.
+fn record_refusal(
+    state: &mut Forwarder,
+    id: Id,
+    pool: Option<(key::Pool, u8)>,
+    out: &mut Vec<Effect>,
+) {
+    if let Some((pool, priority)) = pool {
+        state.shortages.record_refusal(state.now, pool, priority);
+    }
+    state.observe(id, Observation::Refused, out);
+}
+
 fn count_spilled(state: &mut Forwarder, id: Id, server: key::Server) {
     let row = state.table.server(server);
     let preferred = row
@@ -199,6 +212,8 @@
             return resend(state, id, flow.server);
         }
         state.remove_flow(id);
+        let priority = state.table.route(id.service).map(|route| route.priority);
+        record_refusal(state, id, pool.zip(priority), out);
         return refuse_flow(state, id, Code::NoServer, out);
     };
     out.push(Effect::Note(Note::Moved {
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -24,6 +24,7 @@
 use crate::load;
 use crate::load::Loads;
 use crate::note::Note;
+use crate::observation::Observation;
 use crate::opening;
 use crate::overview;
 use crate::packet::Head;
@@ -335,6 +336,14 @@
         }
     }
 
+    /// Reports an observation of a flow, unless its route is gone.
+    pub(crate) fn observe(&self, id: Id, observation: Observation, out: &mut Vec<Effect>) {
+        if let Some(route) = self.table.route(id.service) {
+            let class = route.into();
+            out.push(Effect::Observed { class, observation });
+        }
+    }
+
     /// Adds a flow. Returns whether there was room.
     pub(crate) fn insert_flow(&mut self, id: Id, flow: Flow) -> bool {
         let is_inserted = self.flows.insert(id, flow);
--- a/crates/forward/src/tick.rs
+++ b/crates/forward/src/tick.rs
@@ -19,6 +19,7 @@
 use crate::flow::Phase;
 use crate::load;
 use crate::note::Note;
+use crate::observation::Observation;
 use crate::peer;
 use crate::report;
 use crate::role::Role;
@@ -174,6 +175,9 @@
             }
             Expired::Flow(flow) => flow,
         };
+        if let Some(took) = flow.request_time() {
+            state.observe(id, Observation::Ended(took), out);
+        }
         let row = state.table.server_mut(flow.server);
         row.remove_flow(&flow);
         let was_open = flow.phase == Phase::Open;
--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod hostile;
 mod load;
 mod loss;
+mod observation;
 mod overload;
 mod overview;
 mod patch;
--- a/crates/forward/tests/all/sim/driver.rs
+++ b/crates/forward/tests/all/sim/driver.rs
@@ -279,7 +279,10 @@
             }
             Effect::Reset(head) => self.send_reset(&head),
             Effect::Exit => self.kill_balancer(balancer, Span::secs(1)),
-            Effect::Withdraw | Effect::Opened { .. } | Effect::Closed { .. } => (),
+            Effect::Withdraw
+            | Effect::Opened { .. }
+            | Effect::Closed { .. }
+            | Effect::Observed { .. } => (),
         }
     }
 
--- a/crates/shell/src/metric.rs
+++ b/crates/shell/src/metric.rs
@@ -7,6 +7,8 @@
 
 use base::prelude::*;
 use eyre::WrapErr;
+use forward::observation::Class;
+use forward::observation::Observation;
 use node::event::Failure;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Gauge;
@@ -84,6 +86,9 @@
     flow_open_time: Histogram<f64>,
     flow_time: Histogram<f64>,
     flows: Counter<u64>,
+    answer_time: Histogram<f64>,
+    request_time: Histogram<f64>,
+    route_flows: Counter<u64>,
 }
 
 impl Metric {
@@ -149,6 +154,20 @@
                 &LATENCY_BOUNDS_S,
             ),
             flows: counter("wasabi_flows", "Flows opened or refused, by outcome."),
+            answer_time: histogram(
+                "wasabi_answer_time",
+                "Time from the opening packet, or a later request, to the first part of the answer.",
+                &LATENCY_BOUNDS_S,
+            ),
+            request_time: histogram(
+                "wasabi_request_time",
+                "Time from the opening packet, or a later request, to the end of the answer.",
+                &LATENCY_BOUNDS_S,
+            ),
+            route_flows: counter(
+                "wasabi_route_flows",
+                "Flows offered and refused, by priority and kind of route.",
+            ),
             registry,
             provider,
             meter,
@@ -236,6 +255,26 @@
         self.flows.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records what happened to a flow, by priority and kind of its route.
+    pub fn record_observation(&self, class: Class, observation: Observation) {
+        let priority = KeyValue::new("priority", i64::from(class.priority));
+        let kind = KeyValue::new("kind", class.kind.name());
+        let count = |outcome: &'static str| {
+            let outcome = KeyValue::new("outcome", outcome);
+            let attributes = [priority.clone(), kind.clone(), outcome];
+            self.route_flows.add(1, &attributes);
+        };
+        let record = |histogram: &Histogram<f64>, took: Span| {
+            histogram.record(took.0 as f64 / 1e6, &[priority.clone(), kind.clone()]);
+        };
+        match observation {
+            Observation::Offered => count("offered"),
+            Observation::Refused => count("refused"),
+            Observation::Answered(took) => record(&self.answer_time, took),
+            Observation::Ended(took) => record(&self.request_time, took),
+        }
+    }
+
     /// Renders all metrics, including the reducer's values as gauges.
     ///
     /// # Errors
--- a/crates/shell/src/packets/run.rs
+++ b/crates/shell/src/packets/run.rs
@@ -459,6 +459,9 @@
             Effect::Discover => self.tasks.discover(),
             Effect::Reset(head) => self.send_reset(&head),
             Effect::Opened { took } => self.shell.metric.record_opened_flow(took),
+            Effect::Observed { class, observation } => {
+                self.shell.metric.record_observation(class, observation);
+            }
             Effect::Closed { lasted } => self.shell.metric.record_closed_flow(lasted),
             Effect::Note(note) => trace::log_note(now, &note, data, &mut self.log_limit),
             Effect::Exit => self.outcome = Some(Outcome::Stopped),
--- a/crates/wasabid/tests/forward.rs
+++ b/crates/wasabid/tests/forward.rs
@@ -3,9 +3,13 @@
 
 use std::io::BufRead;
 use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
+use std::net::TcpListener;
+use std::net::TcpStream;
 use std::net::UdpSocket;
 use std::process::Child;
 use std::process::Command;
@@ -61,6 +65,20 @@
     client.put(&object, 0).await.expect("written");
 }
 
+fn free_tcp_port() -> u16 {
+    let listener = TcpListener::bind(ANY).expect("binds");
+    listener.local_addr().expect("bound").port()
+}
+
+fn get_page(admin: SocketAddr, path: &str) -> String {
+    let mut stream = TcpStream::connect(admin).expect("the admin address accepts connections");
+    let request = format!("GET {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).expect("sent");
+    let mut page = String::new();
+    stream.read_to_string(&mut page).expect("the page is text");
+    page
+}
+
 /// The process and the log lines that it writes to standard output.
 struct Balancer {
     child: Child,
@@ -147,7 +165,8 @@
     let settings = folder.join(format!("wasabid-forward-{}.env", std::process::id()));
     std::fs::write(&settings, "WASABI_GRACE_MS=4000\n").expect("written");
     let path = settings.to_string_lossy().into_owned();
-    let mut balancer = Balancer::start(balancer_at, ANY, &url, &path);
+    let admin = SocketAddr::from((Ipv4Addr::LOCALHOST, free_tcp_port()));
+    let mut balancer = Balancer::start(balancer_at, admin, &url, &path);
     balancer.next_event("start");
     assert_eq!(balancer.next_event("ready")["is_ready"], true);
 
@@ -186,6 +205,19 @@
         .to_string()
         .contains("E108"));
 
+    let page = get_page(admin, "/load");
+    let page = page.split("\r\n\r\n").nth(1).expect("the page has a body");
+    let page: serde_json::Value = serde_json::from_str(page).expect("the page is JSON");
+    assert_eq!(
+        (&page["balancer"], &page["pools"]),
+        (&"b0".into(), &serde_json::json!([]))
+    );
+    assert_eq!(page["balancers"][0]["admin"], admin.to_string());
+    let offered =
+        r#"wasabi_route_flows_total{kind="non_idempotent",outcome="offered",priority="0"} 1"#;
+    let metrics = get_page(admin, "/metrics");
+    assert!(metrics.contains(offered), "{offered} is not in {metrics}");
+
     std::fs::write(&settings, "WASABI_GRACE_MS=nothing\n").expect("written");
     balancer.signal("-HUP");
     assert!(balancer.next_event("reload-failed")["why"]
