--- a/crates/wasabictl/src/command/load.rs
+++ b/crates/wasabictl/src/command/load.rs
@@ -133,7 +133,7 @@
     let mut response = request.await.map_err(reason)?;
     match response.status() {
         status if status.is_success() => (),
-        reqwest::StatusCode::NOT_FOUND => return Err("an older release without this page"),
+        reqwest::StatusCode::NOT_FOUND => return Err("no such page: a relay or an older release"),
         _ => return Err("it is not serving"),
     }
     let mut body = Vec::new();
