--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -63,6 +63,7 @@
 //! - `note`: log records of decisions.
 //! - `count`: counters.
 //! - `dump`: the state as text.
+//! - `observation`: what metrics record of flows, by priority and kind of route.
 //! - `shortage`: the pools that were short of capacity in the last minute.
 //! - `overview`: the admin page about them.
 //! - `setting`: settings and their defaults.
@@ -86,6 +87,7 @@
 pub mod load;
 pub mod loss;
 pub mod note;
+pub mod observation;
 pub mod overview;
 pub mod pace;
 pub mod packet;
--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod hostile;
 mod load;
 mod loss;
+mod observation;
 mod overload;
 mod overview;
 mod pace;
