--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -108,7 +108,7 @@
     SlotsTaken = 312,
     /// Reset: the pool is short of capacity, and the share of the route's priority is used up.
     Overloaded = 313,
-    /// Reset: the link or processor of the balancer's host is short, and the flow is among those refused.
+    /// Reset: the balancer's host is short of link or processor, and refuses a share of flows.
     HostFull = 314,
 
     /// The object has an unknown kind.
--- a/crates/shell/src/packets/setting.rs
+++ b/crates/shell/src/packets/setting.rs
@@ -231,8 +231,9 @@
 impl Checker {
     /// Returns a capacity of the host; 0 if it is not known.
     fn check_capacity(&mut self, flag: &'static str, value: Option<String>, max: f64) -> f64 {
-        let text = value.as_deref().unwrap_or("0").trim().to_owned();
-        let capacity = self.check_number(flag, value.map(|_| text.clone()), 0.0, 0.0..=max);
+        let value = value.map(|text| text.trim().to_owned());
+        let text = value.clone().unwrap_or_default();
+        let capacity = self.check_number(flag, value, 0.0, 0.0..=max);
         if capacity > 0.0 && capacity < CAPACITY_MIN {
             let least = format!("`{text}` is less than {CAPACITY_MIN}; 0 is not known");
             self.add_fault(flag, least);
--- a/crates/shell/tests/packets.rs
+++ b/crates/shell/tests/packets.rs
@@ -63,7 +63,10 @@
         lines in prop::collection::vec("(WASABI_[A-Z_]{3,12}|#|) ?(=|) ?[ -~]{0,24}", 0..12),
         value in "[ -~]{0,30}",
     ) {
-        let names = ["NAME", "ENTRY", "PEER", "PEER_BIND", "SEEDS", "COLD_OVERAGE", "GRACE_MS", "LOG"];
+        let names = [
+            "NAME", "ENTRY", "PEER", "PEER_BIND", "SEEDS", "COLD_OVERAGE", "GRACE_MS", "LOG",
+            "OUT_AFTER_MS", "OUT_WITHIN_MS", "LINK_MBPS", "CPU_QUOTA",
+        ];
         let known = names.map(|name| format!("WASABI_{name}={value}"));
         for text in [lines.join("\n"), known.join("\n"), value] {
             if let Ok(raw) = Raw::default().with_file(&text) {
