forward: a new owner of a cold server waits for the limit's window

Cause: each owner of a cold server uses half of its limit, for views of two owners at once. A balancer that starts or resumes takes itself for the owner up to 700 ms before the others do, so that several that die, pause or start in the same second make three owners.

Change: a balancer that becomes the owner of a cold server waits 1 s, the window of the limit (cold::Owners, cold::Tenure), also after a pause of its own. Nobody waits while the oldest balancer of the domain has run for at most 3 s: then all start together. A balancer that knows no other one cannot tell that, and waits.

--- a/crates/forward/src/opening.rs
+++ b/crates/forward/src/opening.rs
@@ -246,7 +246,7 @@
         except,
         is_retransmitted,
     };
-    selector.select(pool, |server| state.is_cold_owner(server))
+    selector.select(pool, |server| state.may_open_cold(server))
 }
 
 /// Forwards an opening packet to a server with its route token. If the server is cold, its next new
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -9,6 +9,7 @@
 
 use crate::admission;
 use crate::check;
+use crate::cold;
 use crate::contact::Contacts;
 use crate::count::Counts;
 use crate::demand::Demands;
@@ -58,6 +59,8 @@
     pub(crate) contacts: Contacts,
     /// Whether this balancer reaches the store.
     pub(crate) reach: Reach,
+    /// The balancers that may own cold servers.
+    pub(crate) owners: cold::Owners,
     /// The restart hints that have not been sent.
     pub(crate) hints: Vec<report::Hint>,
     /// Whether the balancer was ready at the last tick.
@@ -98,6 +101,7 @@
             counts: Counts::default(),
             contacts: Contacts::default(),
             reach: Reach::default(),
+            owners: cold::Owners::default(),
             hints: Vec::new(),
             was_ready: false,
             stopping_since: None,
@@ -287,6 +291,57 @@
         first == Some(self.incarnation())
     }
 
+    /// Returns whether this balancer may open flows at a cold server: it is the owner, and the flows
+    /// of an earlier owner no longer count.
+    pub(crate) fn may_open_cold(&self, server: key::Server) -> bool {
+        let row = self.table.server(server);
+        let domain = &self.table.domain(row.domain).name;
+        self.owners.may_open(self.now, domain, row.tenure) && self.is_cold_owner(server)
+    }
+
+    /// Observes which balancers may own cold servers, and since when this one does.
+    pub(crate) fn observe_owners(&mut self) {
+        let now = self.now;
+        self.owners.start_observation(now);
+        let live = self.group.members().filter(|member| member.state.is_live());
+        let is_alone = live.count() <= 1;
+        for domain in self.table.domains() {
+            let name = &domain.name;
+            let live = || {
+                let live = self.group.members().filter(|member| member.state.is_live());
+                live.map(|member| member.incarnation)
+            };
+            let eligible = self.group.owners_in(name).map(|member| member.incarnation);
+            let mut eligible = eligible.peekable();
+            let local = self.group.alive_in(name).map(|member| member.incarnation);
+            // Incarnations are sorted by their start.
+            let oldest = local.min().or_else(|| live().min());
+            let oldest = oldest.map_or(now, Incarnation::start_time);
+            match eligible.peek() {
+                Some(_) => self.owners.observe(now, name, eligible, oldest, is_alone),
+                None => self.owners.observe(now, name, live(), oldest, is_alone),
+            }
+        }
+        let changes: Vec<(key::Server, cold::Tenure)> = self
+            .table
+            .servers()
+            .filter_map(|(server, row)| {
+                let tenure = match self.table.is_cold(server, now) {
+                    true => {
+                        let view = self.owners.view(&self.table.domain(row.domain).name);
+                        let owns = || self.is_cold_owner(server);
+                        row.tenure.observed(now, view, owns)
+                    }
+                    false => cold::Tenure::Unknown,
+                };
+                (tenure != row.tenure).then_some((server, tenure))
+            })
+            .collect();
+        for (server, tenure) in changes {
+            self.table.server_mut(server).tenure = tenure;
+        }
+    }
+
     /// Returns the place of this balancer among those of its failure domain that may check a
     /// server, by rendezvous hash. 0 is the checker.
     pub(crate) fn checker_rank(&self, server: key::Server) -> u64 {
@@ -332,6 +387,7 @@
 
     fn resume(&mut self, pause: Span, out: &mut Vec<Effect>) {
         out.push(Effect::Note(Note::Resumed { pause }));
+        self.owners.record_pause(self.now);
         // Flows that went unanswered during the pause say nothing about their servers' health.
         for flow in self.flows.remove_all() {
             self.table.server_mut(flow.server).remove_flow(&flow);
--- a/crates/forward/src/table.rs
+++ b/crates/forward/src/table.rs
@@ -18,6 +18,7 @@
 use conf::object::State;
 use cranelift_entity::PrimaryMap;
 
+use crate::cold::Tenure;
 use crate::health::Health;
 use crate::loss::Losses;
 use crate::table::row::Row;
@@ -423,6 +424,7 @@
             version: 0,
             cold_until: Time::default(),
             next_cold_flow_at: Time::default(),
+            tenure: Tenure::Unknown,
             is_shadowed: false,
             listing_seq: 0,
             open_flows: 0,
--- a/crates/forward/src/table/row.rs
+++ b/crates/forward/src/table/row.rs
@@ -6,6 +6,7 @@
 use base::prelude::*;
 use conf::key;
 
+use crate::cold::Tenure;
 use crate::flow::Flow;
 use crate::health::Health;
 use crate::loss::Losses;
@@ -53,6 +54,8 @@
     pub cold_until: Time,
     /// When a cold server may receive its next flow.
     pub next_cold_flow_at: Time,
+    /// This balancer's ownership of it while it is cold.
+    pub tenure: Tenure,
     /// Whether another server has the same mark and owns it, so that no flow is opened here.
     pub is_shadowed: bool,
     /// Sequence number of the last listing that contained it.
--- a/crates/forward/src/tick.rs
+++ b/crates/forward/src/tick.rs
@@ -83,6 +83,7 @@
         state.timers.membership = now + MEMBERSHIP_PERIOD;
         peer::step_group(state, member::Event::Tick, out);
         state.role = Role::new(&state.group);
+        state.observe_owners();
         announce(state, out);
         discover_peers(state, out);
         expire_servers(state, out);
--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the reducer in a simulated deployment with virtual time, and of its modules.
 
 mod admission;
+mod cold;
 mod demand;
 mod fleet;
 mod flow;
--- a/crates/forward/tests/all/sim/mod.rs
+++ b/crates/forward/tests/all/sim/mod.rs
@@ -194,6 +194,10 @@
     next_port: u32,
     /// The number of packets and frames lost out of 10,000.
     pub(crate) loss: u32,
+    /// How long servers are cold after a restart.
+    pub(crate) cold_period: Span,
+    /// The rate of the pool's cold servers, in flows per minute.
+    pub(crate) cold_per_minute: u32,
     /// The number of load reports lost out of 10,000, in addition.
     pub(crate) report_loss: u32,
     /// The number of objects that balancers sent each other.
@@ -267,6 +271,8 @@
             idle_flows: BTreeMap::new(),
             next_port: 0,
             loss: 0,
+            cold_period: Span::secs(2),
+            cold_per_minute: 0,
             report_loss: 0,
             published_objects: 0,
             log: Vec::new(),
--- a/crates/forward/tests/all/sim/server.rs
+++ b/crates/forward/tests/all/sim/server.rs
@@ -31,9 +31,8 @@
 pub(crate) const DRAIN_TIMEOUT: Span = Span::secs(3);
 /// The time after a domain was taken out from which its servers must not receive opening packets.
 const DOMAIN_OUT_TIMEOUT: Span = Span::secs(5);
-/// The number of flows per second that a cold server may receive: the pool's rate of 0, and a slack
-/// of 5.
-const COLD_FLOWS_PER_SECOND_MAX: usize = 5;
+/// The number of flows per second that a cold server may receive beyond 1.5 times the pool's rate.
+const COLD_SLACK: usize = 5;
 
 /// The state of a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -192,7 +191,7 @@
 
     /// Restarts a server under its name, cold and without its flows.
     pub(crate) fn restart_cold(&mut self, server: usize) {
-        let until = self.now + Span::secs(2);
+        let until = self.now + self.cold_period;
         let state = &mut self.servers[server];
         state.status = Status::Serving;
         state.incarnation += 1;
@@ -204,7 +203,7 @@
         state.cold_until = until;
         self.write_server(server);
         // From then on, the entry does not say that the server is cold.
-        let wait = Span::secs(2);
+        let wait = self.cold_period;
         self.schedule(wait, Task::StoreWrite(Write::UpdateEntry(server)));
     }
 
@@ -332,7 +331,9 @@
             {
                 opens.pop_front();
             }
-            if opens.len() > COLD_FLOWS_PER_SECOND_MAX {
+            // Divides by 60 for the rate per minute and by 2 for 1.5 times the rate.
+            let limit = self.cold_per_minute as usize * 3 / 120 + COLD_SLACK;
+            if opens.len() > limit {
                 self.violations.insert(Violation::ColdLimitExceeded(server));
             }
         }
--- a/crates/forward/tests/all/sim/store.rs
+++ b/crates/forward/tests/all/sim/store.rs
@@ -83,7 +83,7 @@
         let route = object::Route::new(SERVICE, vec![share]);
         let pool = object::Pool {
             name: POOL.into(),
-            cold_per_minute: 0,
+            cold_per_minute: self.cold_per_minute,
             cold: Span::secs(2),
             check_path: object::DEFAULT_CHECK_PATH.into(),
         };
