forward: openings of a backlog and openings lost everywhere raise no suspicion

Cause: packets queue at a balancer that starts, is paused or stalls.

Change: an opening packet that is read within 200 ms after a start, a pause or a gap of more than 100 ms between two events raises a suspicion only once a copy arrives after that time (backlog::Backlog). If two or more servers in each of two or more failure domains lose openings within 100 ms, none of these raises one without a copy (backlog::Lost). A copy that moves to another server counts there as a request under way for 100 ms, as the first packet does.

A server that ends in the pause is suspected within 600 ms of its end.

--- a/crates/forward/src/flow.rs
+++ b/crates/forward/src/flow.rs
@@ -107,6 +107,8 @@
     pub moves: u8,
     /// Whether its first data has been logged as a request.
     pub has_logged_request: bool,
+    /// Whether its opening packet may have queued for so long that its caller has given up.
+    pub is_backlog: bool,
     /// The data behind the selection of its server.
     pub basis: Basis,
 }
@@ -185,6 +187,7 @@
             ack: 0,
             moves: 0,
             has_logged_request: false,
+            is_backlog: false,
             basis: Basis::default(),
         }
     }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -36,6 +36,7 @@
 //! - `contact`: the failure domains from whose balancers frames arrive.
 //! - `load`: load reports of other balancers, and the sums that selection uses.
 //! - `retransmission`: evidence that a backend server leaves its open flows unanswered.
+//! - `backlog`: opening packets whose callers may have given up.
 //! - `loss`: requests that a backend server left without an answer.
 //! - `report`: exchange of load reports and restart hints.
 //! - `demand`: demand for each pool, here, at peers and in other failure domains.
@@ -56,6 +57,7 @@
 //! - `prelude`: the types that a driver imports.
 
 pub mod admission;
+pub mod backlog;
 pub mod check;
 pub mod codec;
 pub mod cold;
--- a/crates/forward/src/opening.rs
+++ b/crates/forward/src/opening.rs
@@ -154,6 +154,7 @@
     let mut flow = Flow::new(server, Phase::Opening, state.now).with_basis(basis);
     // The request follows at once.
     flow.is_busy = true;
+    flow.is_backlog = state.backlog.is_active(state.now);
     if !state.insert_flow(id, flow) {
         state.counts.add(Kind::Unrecorded);
     }
@@ -173,8 +174,13 @@
     if flow.phase == Phase::Open || now.since(flow.opening_sent_at) < NETWORK_DUPLICATE_WINDOW {
         return forward_to(state, id, flow.server);
     }
+    // A copy that may have queued as well does not show that the caller still waits.
+    let is_waiting = !state.backlog.is_active(now);
+    if let Some(entry) = state.flows.get_mut(id).filter(|_| is_waiting) {
+        entry.is_backlog = false;
+    }
     let row = state.table.server_mut(flow.server);
-    if row.health.record_unanswered(now, flow.opening_sent_at) {
+    if is_waiting && row.health.record_unanswered(now, flow.opening_sent_at) {
         out.push(Effect::Note(Note::Suspected {
             server: row.name.clone(),
             flow: id,
@@ -202,16 +208,21 @@
     }));
     state.counts.add(Kind::Moves);
     state.table.server_mut(flow.server).remove_flow(&flow);
-    state.table.server_mut(server).add_flow(&flow);
+    // The caller waits, so that its request follows at once.
+    let mut moved = flow;
+    moved.is_busy = true;
+    state.table.server_mut(server).add_flow(&moved);
     let entry = state
         .flows
         .get_mut(id)
         .expect("a retransmission belongs to a flow in the table");
+    entry.is_busy = true;
     entry.server = server;
     entry.opening_sent_at = now;
     entry.last_seen = now;
     entry.moves = entry.moves.saturating_add(1);
     entry.basis = basis;
+    state.flows.queue_request(id);
     forward_to(state, id, server)
 }
 
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -8,6 +8,8 @@
 use wire::frame::Speed;
 
 use crate::admission;
+use crate::backlog;
+use crate::backlog::Backlog;
 use crate::check;
 use crate::cold;
 use crate::contact::Contacts;
@@ -59,6 +61,10 @@
     pub(crate) contacts: Contacts,
     /// Whether this balancer reaches the store.
     pub(crate) reach: Reach,
+    /// Whether packets may have queued before they were read.
+    pub(crate) backlog: Backlog,
+    /// The recent openings that were lost without a copy.
+    pub(crate) lost_openings: backlog::Lost,
     /// The balancers that may own cold servers.
     pub(crate) owners: cold::Owners,
     /// The restart hints that have not been sent.
@@ -101,6 +107,8 @@
             counts: Counts::default(),
             contacts: Contacts::default(),
             reach: Reach::default(),
+            backlog: Backlog::new(now),
+            lost_openings: backlog::Lost::default(),
             owners: cold::Owners::default(),
             hints: Vec::new(),
             was_ready: false,
@@ -118,6 +126,7 @@
     pub fn handle_packet(&mut self, now: Time, head: &Head, out: &mut Vec<Effect>) -> Verdict {
         self.now = now;
         self.last_packet_at = now;
+        self.backlog.record_event(now);
         match head.flags.syn {
             true => opening::handle_packet(self, head, out),
             false => established::handle_packet(self, head, out),
@@ -127,6 +136,7 @@
     /// Applies an event, and appends the work for the driver to `out`.
     pub fn step(&mut self, now: Time, event: Event, out: &mut Vec<Effect>) {
         self.now = now;
+        self.backlog.record_event(now);
         match event {
             Event::Tick => tick::tick(self, out),
             Event::Objects {
@@ -388,6 +398,7 @@
     fn resume(&mut self, pause: Span, out: &mut Vec<Effect>) {
         out.push(Effect::Note(Note::Resumed { pause }));
         self.owners.record_pause(self.now);
+        self.backlog.begin(self.now);
         // Flows that went unanswered during the pause say nothing about their servers' health.
         for flow in self.flows.remove_all() {
             self.table.server_mut(flow.server).remove_flow(&flow);
--- a/crates/forward/src/tick.rs
+++ b/crates/forward/src/tick.rs
@@ -102,6 +102,7 @@
     let is_ready = state.is_ready();
     if is_ready != state.was_ready {
         state.was_ready = is_ready;
+        state.backlog.begin(now);
         out.push(Effect::Note(Note::Ready {
             is_ready,
             routing: state.table.routing_version(),
@@ -166,10 +167,11 @@
 
 fn expire_flows(state: &mut Forwarder, out: &mut Vec<Effect>) {
     let now = state.now;
+    let mut lost = Vec::new();
     while let Some((id, expired)) = state.flows.expire(now) {
         let flow = match expired {
             Expired::Request(flow) => {
-                end_request(state, id, &flow, out);
+                end_request(state, id, &flow, &mut lost);
                 continue;
             }
             Expired::Flow(flow) => flow,
@@ -177,7 +179,7 @@
         let row = state.table.server_mut(flow.server);
         row.remove_flow(&flow);
         let was_open = flow.phase == Phase::Open;
-        if !was_open {
+        if !was_open && !flow.is_backlog {
             state.has_urgent_evidence |= row.health.record_unanswered(now, flow.opening_sent_at);
         }
         state.counts.add(match was_open {
@@ -192,23 +194,40 @@
             age: now.since(flow.opened_at),
         }));
     }
+    suspect_servers(state, &lost, out);
 }
 
-/// Ends a request that had no answer in time. A flow that has not opened by then suggests that its
-/// server has ended and its host resets flows. The server looks idle then, so it has to be suspected
-/// before it attracts all new flows. Its callers send no copy that would show the failure.
-fn end_request(state: &mut Forwarder, id: Id, flow: &Flow, out: &mut Vec<Effect>) {
+/// Ends a request that had no answer in time, and adds it to `lost` if its flow has not opened.
+fn end_request(state: &mut Forwarder, id: Id, flow: &Flow, lost: &mut Vec<(Id, Flow)>) {
     let now = state.now;
     let row = state.table.server_mut(flow.server);
     row.requests -= 1;
     row.losses.record_lost(now);
-    if flow.phase == Phase::Opening && row.health.record_unanswered(now, flow.opening_sent_at) {
-        state.has_urgent_evidence = true;
-        out.push(Effect::Note(Note::Suspected {
-            server: row.name.clone(),
-            flow: id,
-            waited: now.since(flow.opening_sent_at),
-        }));
+    if flow.phase == Phase::Opening && !flow.is_backlog {
+        let domain = row.domain;
+        if flow.moves == 0 {
+            state.lost_openings.record(now, domain, flow.server);
+        }
+        lost.push((id, *flow));
+    }
+}
+
+/// Suspects the servers of flows that have not opened in time. That suggests that a server has ended
+/// and its host resets flows. The server looks idle then, so it has to be suspected before it attracts
+/// all new flows. Its callers send no copy that would show the failure.
+fn suspect_servers(state: &mut Forwarder, lost: &[(Id, Flow)], out: &mut Vec<Effect>) {
+    let now = state.now;
+    let is_common = !lost.is_empty() && state.lost_openings.is_common(now);
+    for &(id, flow) in lost.iter().filter(|(_, flow)| flow.moves > 0 || !is_common) {
+        let row = state.table.server_mut(flow.server);
+        if row.health.record_unanswered(now, flow.opening_sent_at) {
+            state.has_urgent_evidence = true;
+            out.push(Effect::Note(Note::Suspected {
+                server: row.name.clone(),
+                flow: id,
+                waited: now.since(flow.opening_sent_at),
+            }));
+        }
     }
 }
 
--- a/crates/forward/tests/all/overload.rs
+++ b/crates/forward/tests/all/overload.rs
@@ -2,6 +2,8 @@
 //! that are alive.
 
 use base::prelude::*;
+use conf::key;
+use forward::backlog::Lost;
 use forward::health::Outcome as CheckOutcome;
 use forward::health::RESULT_LIFETIME_MIN;
 use forward::reach::Reach;
@@ -308,3 +310,105 @@
     reach.record_answer();
     assert!(reach.is_reached(at(4_900)));
 }
+
+/// Pattern: all balancers are paused for 2 s and the packets of their callers queue (inc-96b3). The
+/// callers of most opening packets have given up when these are forwarded, which is no failure of
+/// their servers.
+#[test]
+fn a_backlog_raises_no_suspicion() {
+    for seed in 90..98 {
+        let mut sim = Simulation::new(seed, 3, 30, 18).with_rate(60.0);
+        sim.run_for(Span::secs(6));
+        for balancer in 0..30 {
+            sim.balancers[balancer].queue = Some(Vec::new());
+            sim.pause_balancer(balancer, Span::secs(2));
+        }
+        sim.is_logging = true;
+        sim.run_for(Span::secs(5));
+        let suspicions = sim.log.iter().filter(|line| line.contains(" is suspected"));
+        let suspicions: Vec<&String> = suspicions.collect();
+        assert_eq!(
+            suspicions,
+            Vec::<&String>::new(),
+            "seed {seed}: no server has failed"
+        );
+        sim.assert_no_violations();
+    }
+}
+
+/// Failure: a server ends while the balancers are paused. The callers that still wait send copies.
+#[test]
+fn a_server_that_ends_in_a_pause_is_suspected_after_a_copy() {
+    for seed in 90..94 {
+        let mut sim = Simulation::new(seed, 3, 9, 18).with_rate(120.0);
+        sim.run_for(Span::secs(6));
+        for balancer in 0..9 {
+            sim.balancers[balancer].queue = Some(Vec::new());
+            sim.pause_balancer(balancer, Span::secs(2));
+        }
+        sim.run_for(Span::secs(1));
+        sim.servers[0].status = Status::Unresponsive;
+        sim.is_logging = true;
+        sim.run_for(Span::millis(1_600));
+        let name = &sim.servers[0].name;
+        let is_suspected = |line: &String| line.contains(name) && line.contains(" is suspected");
+        assert!(
+            sim.log.iter().any(is_suspected),
+            "seed {seed}: not within 600 ms"
+        );
+    }
+}
+
+/// Load: copies of opening packets move to other servers, which would look idle until the data of
+/// their callers arrives.
+#[test]
+fn a_copy_that_moves_counts_as_a_request_under_way() {
+    let mut sim = Simulation::new(11, 1, 1, 3);
+    sim.run_for(Span::secs(3));
+    for server in 0..3 {
+        sim.servers[server].status = Status::Unresponsive;
+    }
+    let requests = |sim: &Simulation| -> u32 {
+        let rows = sim.reducer(0).table().servers();
+        rows.map(|(_, row)| row.requests).sum()
+    };
+    sim.start_request(0, true);
+    sim.run_for(Span::millis(190));
+    assert_eq!(requests(&sim), 0, "the first opening counts for 100 ms");
+    sim.run_for(Span::millis(20));
+    assert_eq!(requests(&sim), 1, "the copy has moved");
+    sim.run_for(Span::millis(130));
+    assert_eq!(requests(&sim), 0, "it counts for 100 ms as well");
+}
+
+/// Pattern: the answers of all servers are lost on their way to callers, so that flows do not open.
+/// Where a single domain loses openings, its servers may have failed.
+#[test]
+fn openings_lost_in_several_domains_have_a_common_cause() {
+    let (at, key) = (
+        |millis| sim::START + Span::millis(millis),
+        |number| {
+            (
+                key::Domain::from_u32(number / 10),
+                key::Server::from_u32(number),
+            )
+        },
+    );
+    let record = |lost: &mut Lost, millis, number| {
+        let (domain, server) = key(number);
+        lost.record(at(millis), domain, server);
+    };
+    let mut lost = Lost::default();
+    for number in [0, 1, 2, 10] {
+        record(&mut lost, 0, number);
+    }
+    assert!(
+        !lost.is_common(at(0)),
+        "one server of the other domain may have failed too"
+    );
+    record(&mut lost, 25, 10);
+    assert!(!lost.is_common(at(25)), "it is the same one");
+    record(&mut lost, 25, 11);
+    assert!(lost.is_common(at(25)));
+    assert!(!lost.is_common(at(110)), "the others lost theirs earlier");
+}
--- a/crates/forward/tests/all/sim/driver.rs
+++ b/crates/forward/tests/all/sim/driver.rs
@@ -27,6 +27,10 @@
                 if self.balancers[balancer].incarnation == incarnation {
                     self.step_balancer(balancer, Event::Resumed(span));
                 }
+                let queue = self.balancers[balancer].queue.take();
+                for head in queue.into_iter().flatten() {
+                    self.handle_balancer_packet(balancer, &head);
+                }
                 self.tick_balancer(balancer, incarnation);
             }
             Task::Probe => self.probe_balancers(),
@@ -150,6 +154,9 @@
 
     fn handle_balancer_packet(&mut self, balancer: usize, head: &Head) {
         if self.now < self.balancers[balancer].paused_until {
+            if let Some(queue) = &mut self.balancers[balancer].queue {
+                queue.push(*head);
+            }
             return;
         }
         let now = self.now;
--- a/crates/forward/tests/all/sim/mod.rs
+++ b/crates/forward/tests/all/sim/mod.rs
@@ -80,6 +80,8 @@
     failed_probes: u32,
     /// Until when the process is paused.
     paused_until: Time,
+    /// The packets that queue meanwhile; `None` if they are lost.
+    pub(crate) queue: Option<Vec<Head>>,
     pub(crate) is_stopping: bool,
 }
 
@@ -334,6 +336,7 @@
             is_in_rotation: false,
             failed_probes: 0,
             paused_until: START,
+            queue: None,
             is_stopping: false,
         });
         let wait = Span(self.random.random_range(0..300_000));
