--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -46,6 +46,7 @@
 //! - `load`: load reports of other balancers, and the sums that selection uses.
 //! - `running`: the requests under way at a server, here and at peers.
 //! - `retransmission`: evidence that a backend server leaves its open flows unanswered.
+//! - `backlog`: opening packets whose callers may have given up.
 //! - `loss`: requests that a backend server left without an answer.
 //! - `report`: exchange of load reports and restart hints.
 //! - `rate`: estimators of the rates of events.
@@ -71,6 +72,7 @@
 
 pub mod admission;
 pub mod answer;
+pub mod backlog;
 pub mod check;
 pub mod codec;
 pub mod cold;
--- a/crates/forward/tests/all/sim/mod.rs
+++ b/crates/forward/tests/all/sim/mod.rs
@@ -84,6 +84,8 @@
     failed_probes: u32,
     /// Until when the process is paused.
     paused_until: Time,
+    /// The packets that queue meanwhile; `None` if they are lost.
+    pub(crate) queue: Option<Vec<Head>>,
     pub(crate) is_stopping: bool,
 }
 
@@ -231,6 +233,10 @@
     next_port: u32,
     /// The number of packets and frames lost out of 10,000.
     pub(crate) loss: u32,
+    /// How long servers are cold after a restart.
+    pub(crate) cold_period: Span,
+    /// The rate of the pool's cold servers, in flows per minute.
+    pub(crate) cold_per_minute: u32,
     /// The number of load reports lost out of 10,000, in addition.
     pub(crate) report_loss: u32,
     /// The number of objects that balancers sent each other.
@@ -312,6 +318,8 @@
             idle_flows: BTreeMap::new(),
             next_port: 0,
             loss: 0,
+            cold_period: Span::secs(2),
+            cold_per_minute: 0,
             report_loss: 0,
             published_objects: 0,
             log: Vec::new(),
@@ -377,6 +385,7 @@
             is_in_rotation: false,
             failed_probes: 0,
             paused_until: START,
+            queue: None,
             is_stopping: false,
         });
         let wait = Span(self.random.random_range(0..300_000));
