soak: slowest refusal in the report, crowds disturb the check of full links

A run with no measured refusal could not be told from one with fast refusals.

Change: a full link is judged only without a crowd.

--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -219,8 +219,12 @@
     /// Checks how long a balancer took to refuse an opening packet that it received at `since`. A
     /// flow of which a copy reached a server was not refused at first.
     pub fn check_refusal_time(&mut self, now: Time, caller: SocketAddrV4, since: Time, via: usize) {
+        if !self.is_settled(via, now) || self.forwarded.contains(&caller) {
+            return;
+        }
         let waited = now.since(since);
-        if waited > REFUSAL_TIME && self.is_settled(via, now) && !self.forwarded.contains(&caller) {
+        self.slowest_refusal = self.slowest_refusal.max(waited);
+        if waited > REFUSAL_TIME {
             let waited = waited.as_millis();
             let what = format!("{caller} refused by balancer {via} after {waited} ms");
             self.record_breach(now, Promise::Refusal, what);
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -128,6 +128,8 @@
             self.world.with(|state, now| {
                 is_calm &= state.is_calm(now, host);
                 if let Some(host) = host {
+                    // A crowd's refusals are not due to the link.
+                    is_calm &= !state.had_crowd(now, CROWD_RECOVERY_TIME);
                     state.balancers[host].last_full_link = now;
                 }
             });
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -224,6 +224,8 @@
     pub has_loads: bool,
     /// Start and end of the latest crowd.
     pub crowd: Option<(Time, Time)>,
+    /// Longest time from an opening packet to its refusal by a settled balancer.
+    pub slowest_refusal: Span,
     /// What callers met during loads, for the report.
     pub load_results: Vec<String>,
     /// Requests that ended.
@@ -261,6 +263,7 @@
             forwarded: BTreeSet::new(),
             has_loads: false,
             crowd: None,
+            slowest_refusal: Span::default(),
             load_results: Vec::new(),
             completed: Vec::new(),
             breaches: Vec::new(),
