soak: one constructor for levels of service, no time where nothing was refused

Cause: two near copies of one function, and a report of 0 ms both for fast refusals and for none. Change: the time within which requests must have been answered is an argument; `refusal_ms` is null without a refusal by a settled balancer.

--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -223,7 +223,7 @@
             return;
         }
         let waited = now.since(since);
-        self.slowest_refusal = self.slowest_refusal.max(waited);
+        self.slowest_refusal = self.slowest_refusal.max(Some(waited));
         if waited > REFUSAL_TIME {
             let waited = waited.as_millis();
             let what = format!("{caller} refused by balancer {via} after {waited} ms");
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -163,7 +163,7 @@
                 self.load_servers(index, duration, |server, end| server.full_until = end)
                     .await
             }
-            Kind::Crowd => self.bring_crowd().await,
+            Kind::Crowd => self.run_crowd().await,
             Kind::Link => self.fill_link(index, duration).await,
         }
     }
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -43,11 +43,12 @@
 }
 
 impl Level {
-    /// Returns the level of the requests that `is_counted` selects.
-    fn new(state: &State, is_counted: impl Fn(&CompletedRequest) -> bool) -> Level {
+    /// Returns the level of the requests that `is_counted` selects, with the time in which they must
+    /// have been answered.
+    fn new(state: &State, target: Span, is_counted: impl Fn(&CompletedRequest) -> bool) -> Level {
         let counted = state.completed.iter().filter(|request| is_counted(request));
         let is_on_target = |request: &&CompletedRequest| {
-            request.outcome == Outcome::Served && request.took <= PRIORITY_TARGET
+            request.outcome == Outcome::Served && request.took <= target
         };
         Level {
             sent: counted.clone().count(),
@@ -55,16 +56,6 @@
         }
     }
 
-    /// As [`Level::new`], of requests that were answered at any time.
-    fn of_served(state: &State, is_counted: impl Fn(&CompletedRequest) -> bool) -> Level {
-        let counted = state.completed.iter().filter(|request| is_counted(request));
-        let is_served = |request: &&CompletedRequest| request.outcome == Outcome::Served;
-        Level {
-            sent: counted.clone().count(),
-            on_target: counted.filter(is_served).count(),
-        }
-    }
-
     fn percent(self) -> usize {
         self.on_target * 100 / self.sent.max(1)
     }
@@ -138,8 +129,8 @@
         is_calm
     }
 
-    /// Brings a crowd, unless there is one, and checks what callers met.
-    pub(crate) async fn bring_crowd(&self) {
+    /// Runs a crowd, unless there is one already, and checks what callers met.
+    pub(crate) async fn run_crowd(&self) {
         let crowd = self.world.with(|state, now| {
             let is_over = !state.had_crowd(now, Span(CROWD_RECOVERY_TIME.0 + LEVEL_TIME.0));
             is_over.then(|| *state.crowd.insert((now, now + CROWD_TIME)))
@@ -159,7 +150,7 @@
     /// else disturbed the run.
     pub fn check_full_link(&mut self, now: Time, from: Time, to: Time, host: usize, is_calm: bool) {
         let served = |is_own: bool| {
-            Level::of_served(self, |request| {
+            Level::new(self, Span(u64::MAX), |request| {
                 (from..to).contains(&request.sent) && (request.via == Some(host)) == is_own
             })
         };
@@ -177,7 +168,7 @@
     /// nothing else disturbed the run, that service was back to its previous level in time.
     pub fn check_crowd(&mut self, now: Time, from: Time, to: Time, is_calm: bool) {
         let level = |from: Time, to: Time, priority: Option<u8>| {
-            Level::new(self, |request| {
+            Level::new(self, PRIORITY_TARGET, |request| {
                 let own = operator::priority(request.route);
                 self.pool_of(request.route) == Some(PRIORITY_POOL)
                     && (from..to).contains(&request.sent)
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -82,8 +82,8 @@
     pub memory: u64,
     /// Number of lines that the balancers logged.
     pub lines: u64,
-    /// Longest time from an opening packet to its refusal, in milliseconds.
-    pub refusal_ms: u64,
+    /// Longest time from an opening packet to its refusal by a settled balancer, in milliseconds.
+    pub refusal_ms: Option<u64>,
     /// What callers met during loads.
     pub loads: Vec<String>,
     /// Promises that were broken.
@@ -152,7 +152,7 @@
             calm,
             memory,
             lines,
-            refusal_ms: state.slowest_refusal.as_millis(),
+            refusal_ms: state.slowest_refusal.map(Span::as_millis),
             loads: state.load_results.clone(),
             breaches: state.breaches.clone(),
         }
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -225,7 +225,7 @@
     /// Start and end of the latest crowd.
     pub crowd: Option<(Time, Time)>,
     /// Longest time from an opening packet to its refusal by a settled balancer.
-    pub slowest_refusal: Span,
+    pub slowest_refusal: Option<Span>,
     /// What callers met during loads, for the report.
     pub load_results: Vec<String>,
     /// Requests that ended.
@@ -263,7 +263,7 @@
             forwarded: BTreeSet::new(),
             has_loads: false,
             crowd: None,
-            slowest_refusal: Span::default(),
+            slowest_refusal: None,
             load_results: Vec::new(),
             completed: Vec::new(),
             breaches: Vec::new(),
