--- a/crates/forward/src/startup.rs
+++ b/crates/forward/src/startup.rs
@@ -21,6 +21,9 @@
 /// The time without an answer, or without a further fragment, after which the next peer is asked.
 /// It exceeds the round trip to a host that runs only every 100 ms because of its processor quota.
 pub const REQUEST_PERIOD: Span = Span::millis(150);
+/// The same before any member is known: each of three seeds is asked before `FIRST_READ_DELAY`, since
+/// they may start a moment later.
+pub const SEED_REQUEST_PERIOD: Span = Span::millis(50);
 /// When the first balancer of a failure domain reads the platform: two requests have been without an
 /// answer by then.
 pub const FIRST_READ_DELAY: Span = Span::millis(200);
@@ -81,6 +84,8 @@
     is_first_asked: bool,
     /// The number of requests so far.
     count: usize,
+    /// When a member was first asked.
+    member_asked_at: Option<Time>,
     may_read: bool,
     /// When the platform is read because a snapshot was not confirmed.
     read_at: Option<Time>,
@@ -98,6 +103,7 @@
             requests: Vec::new(),
             is_first_asked: false,
             count: 0,
+            member_asked_at: None,
             may_read: false,
             read_at: None,
         }
@@ -109,7 +115,12 @@
     /// balancers there are.
     pub fn step(&mut self, now: Time, group: &Group, seeds: &[SocketAddr]) -> Step {
         let rank = rank(group);
-        self.may_read |= now.since(self.answered_until) >= read_delay(rank, self.is_answered);
+        let is_due = now.since(self.answered_until) >= read_delay(rank, self.is_answered);
+        // A peer that became known a moment ago may still answer.
+        let is_alone = group.members().nth(1).is_none();
+        let asked_at = self.member_asked_at;
+        let is_asked = asked_at.is_some_and(|at| now.since(at) >= SEED_REQUEST_PERIOD);
+        self.may_read |= is_due && (is_alone || is_asked);
         let limit = Span(BUSY_MAX.0 + READ_DELAY_PER_RANK.0 * rank);
         self.may_read |= now.since(self.started_at) >= limit;
         self.may_read |= self.read_at.is_some_and(|at| now >= at);
@@ -119,7 +130,10 @@
         };
         if let Some(to) = ask {
             self.count += 1;
-            self.ask_at = now + REQUEST_PERIOD;
+            if !is_alone {
+                self.member_asked_at.get_or_insert(now);
+            }
+            self.ask_at = now + request_period(group);
             self.requests
                 .retain(|request| request.to != to && now.since(request.at) < REQUEST_LIFETIME);
             self.requests.push(Request { to, at: now });
@@ -137,11 +151,12 @@
         }
     }
 
-    /// Records that a peer is busy. `named` is the peer to ask instead.
+    /// Records that a peer is busy. `named` is the peer to ask instead. A peer without a snapshot
+    /// that names this balancer lets it read the platform.
     pub fn record_busy(
         &mut self,
         now: Time,
-        from: SocketAddr,
+        (own, from): (SocketAddr, SocketAddr),
         wait: Span,
         named: Option<SocketAddr>,
     ) {
@@ -153,6 +168,10 @@
             self.named = named.or(Some(from));
             return;
         }
+        if named == Some(own) {
+            self.may_read = true;
+            return;
+        }
         // The peer has no snapshot, and names the first balancer of this one's failure domain. That
         // does not put off the reads of the other ones: the named one may be dead.
         self.is_answered = true;
@@ -197,6 +216,13 @@
             |member: &&Member| member.state.is_live() && member.incarnation != me.incarnation;
         let peers = || group.members().filter(live);
         let last = self.requests.last().map(|request| request.to);
+        // Before any member is known, the seeds are asked in order, so that balancers that start
+        // together ask the same one.
+        if peers().next().is_none() {
+            let others = seeds.iter().filter(|seed| **seed != me.peer.datagram);
+            let others: Vec<SocketAddr> = others.copied().collect();
+            return others.get(self.count % others.len().max(1)).copied();
+        }
         // The named peer may have started a moment ago, so that it is not known here yet.
         if let Some(named) = self.named.take() {
             return Some(named);
@@ -238,6 +264,14 @@
     }
 }
 
+/// Returns the time after which the next peer is asked.
+fn request_period(group: &Group) -> Span {
+    match group.members().nth(1) {
+        Some(_) => REQUEST_PERIOD,
+        None => SEED_REQUEST_PERIOD,
+    }
+}
+
 /// Returns the time without an answer after which a balancer reads the platform.
 fn read_delay(rank: u64, is_answered: bool) -> Span {
     if rank == 0 && !is_answered {
--- a/crates/forward/src/startup/serve.rs
+++ b/crates/forward/src/startup/serve.rs
@@ -4,6 +4,7 @@
 //! this balancer or one of those that are being sent one. So snapshots spread like a tree, and each
 //! of its balancers serves a few others.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use base::prelude::*;
@@ -22,6 +23,8 @@
 /// How long a balancer that asked before there was a snapshot is remembered. It asks several others
 /// in the meantime.
 const WAITING_LIFETIME: Span = Span::millis(700);
+/// How long the choice of a reader lasts: a listing on the slowest link, and the two ticks around it.
+const READER_LIFETIME: Span = Span::millis(1_000);
 /// Bounds the number of these balancers: those of the largest domain.
 const WAITING_MAX: usize = 64;
 
@@ -46,6 +49,9 @@
     transfers: Vec<Transfer>,
     /// The balancers that asked while there was no snapshot, and when.
     waiting: Vec<(SocketAddr, Time)>,
+    /// The balancer of each failure domain that reads the platform for those that start with it, and
+    /// when it was chosen.
+    readers: BTreeMap<String, (SocketAddr, Time)>,
     /// The number of `busy` answers, which selects the peer that the next one names.
     referrals: usize,
 }
@@ -77,6 +83,18 @@
         Answer::Busy(wait.min(BUSY_WAIT_MAX), named.map(|transfer| transfer.to))
     }
 
+    /// Returns which balancer of a failure domain reads the platform while there is no snapshot: the
+    /// first one that asked. Called at seeds only, where all ask first.
+    pub fn choose_reader(&mut self, now: Time, domain: &str, from: SocketAddr) -> SocketAddr {
+        if let Some(&(reader, at)) = self.readers.get(domain) {
+            if now.since(at) < READER_LIFETIME {
+                return reader;
+            }
+        }
+        self.readers.insert(domain.to_owned(), (from, now));
+        from
+    }
+
     /// Remembers a balancer that asks while there is no snapshot.
     pub fn record_waiting(&mut self, now: Time, from: SocketAddr) {
         self.waiting
--- a/crates/forward/src/transfer.rs
+++ b/crates/forward/src/transfer.rs
@@ -62,7 +62,10 @@
             peer: named,
         } if is_member => {
             let wait = Span::millis(wait_ms.into());
-            state.startup.record_busy(state.now, peer, wait, named);
+            let own = state.setting.peer.datagram;
+            state
+                .startup
+                .record_busy(state.now, (own, peer), wait, named);
         }
         Body::Snapshot(snapshot) if is_member => apply(state, from, peer, &snapshot, out),
         Body::SnapshotRequest | Body::SnapshotBusy { .. } | Body::Snapshot(_) => {
@@ -74,8 +77,9 @@
     }
 }
 
-/// Answers a request while there is no snapshot here: the sender is remembered, and told that this
-/// balancer is reading the platform, or that another one is the first of its failure domain.
+/// Answers a request while there is no snapshot here. A seed names the balancer of the sender's
+/// failure domain that reads the platform, which may be the sender. Others name the first balancer
+/// of the domain, and tell their own domain if they are reading the platform.
 fn refer(
     state: &mut Forwarder,
     from: Incarnation,
@@ -83,18 +87,24 @@
     domain: &str,
     out: &mut Vec<Effect>,
 ) {
-    state.server.record_waiting(state.now, to);
-    let is_reading = domain == state.setting.domain && state.feeds.are_being_read();
-    let first = state.group.alive_in(domain).next();
-    let first = first.filter(|first| first.incarnation < from);
-    let first = first.map(|first| (first.incarnation, first.peer.datagram));
-    let (wait, peer) = match first {
-        _ if is_reading => (startup::REQUEST_PERIOD, None),
-        Some((first, at)) if first != state.incarnation() => (Span::ZERO, Some(at)),
-        Some(_) => (Span::ZERO, None),
-        None => return,
+    let now = state.now;
+    let own = state.setting.peer.datagram;
+    if domain == state.setting.domain && state.feeds.are_being_read() {
+        state.server.record_waiting(now, to);
+        return send_busy(state, to, startup::REQUEST_PERIOD, None, out);
+    }
+    let named = match state.setting.seeds.contains(&own) {
+        true => Some(state.server.choose_reader(now, domain, to)),
+        false => {
+            let first = state.group.alive_in(domain).next();
+            let first = first.filter(|first| first.incarnation < from);
+            first.map(|first| first.peer.datagram)
+        }
     };
-    send_busy(state, to, wait, peer, out);
+    match named.filter(|named| *named != own) {
+        Some(_) => send_busy(state, to, Span::ZERO, named, out),
+        None => state.server.record_waiting(now, to),
+    }
 }
 
 fn send_busy(
