--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod promise;
 mod replication;
 mod sim;
+mod snapshot;
 mod spill;
 mod startup;
 mod table;
--- a/crates/forward/tests/all/sim/mod.rs
+++ b/crates/forward/tests/all/sim/mod.rs
@@ -47,8 +47,6 @@
 const SEED_BALANCERS: usize = 3;
 /// The interval at which the fabric probes each balancer.
 const PROBE_INTERVAL: Span = Span::millis(500);
-/// The time after which the callers of a new deployment come. All balancers can serve by then.
-const CALLERS_DELAY: Span = Span::millis(1_500);
 /// The number of failed probes in a row after which the fabric takes a balancer out of rotation.
 const FAILED_PROBES_THRESHOLD: u32 = 2;
 
@@ -297,11 +295,10 @@
         sim
     }
 
-    /// Sets the number of requests per second from callers of each domain. They come once the
-    /// deployment is up.
+    /// Sets the number of requests per second from callers of each domain.
     pub(crate) fn with_rate(mut self, rate: f64) -> Simulation {
         self.rate = rate;
-        self.schedule(CALLERS_DELAY, Task::NewRequest);
+        self.schedule_request();
         self
     }
 
