--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -20,6 +20,7 @@
 mod ready;
 mod replication;
 mod sim;
+mod snapshot;
 mod spill;
 mod startup;
 mod table;
