--- a/crates/forward/src/tick.rs
+++ b/crates/forward/src/tick.rs
@@ -213,7 +213,7 @@
     }
 }
 
-fn start_reads(state: &mut Forwarder, out: &mut Vec<Effect>) {
+pub(crate) fn start_reads(state: &mut Forwarder, out: &mut Vec<Effect>) {
     let now = state.now;
     let role = state.role;
     let may_read = transfer::step(state, out);
@@ -386,6 +386,7 @@
     if change.objects > 0 {
         peer::publish_changes(state, kind, &baseline, out);
     }
+    transfer::answer_waiting(state, out);
 }
 
 /// Handles a failed read.
--- a/crates/forward/src/transfer.rs
+++ b/crates/forward/src/transfer.rs
@@ -66,6 +66,8 @@
             state
                 .startup
                 .record_busy(state.now, (own, peer), wait, named);
+            // The named peer is asked, or the platform read, without waiting for the next tick.
+            tick::start_reads(state, out);
         }
         Body::Snapshot(snapshot) if is_member => apply(state, from, peer, &snapshot, out),
         Body::SnapshotRequest | Body::SnapshotBusy { .. } | Body::Snapshot(_) => {
@@ -182,7 +184,8 @@
         let change = feed.apply_snapshot(now, &update);
         tick::apply_change(state, kind, change, Some(from), out);
     }
-    if !state.feeds.are_synced() {
-        state.startup.record_unconfirmed(now);
+    match state.feeds.are_synced() {
+        true => answer_waiting(state, out),
+        false => state.startup.record_unconfirmed(now),
     }
 }
--- a/crates/forward/tests/all/startup.rs
+++ b/crates/forward/tests/all/startup.rs
@@ -269,14 +269,3 @@
     let took = restart(&mut sim, balancer);
     assert!(took <= Span::millis(3_200), "{took}");
 }
-
-/// Trial: prints what a quiet minute costs.
-#[test]
-#[ignore = "a trial that prints figures"]
-fn trial_quiet_minute_of_195() {
-    let mut sim = Simulation::new(1, 5, 195, 100);
-    sim.run_for(Span::secs(8));
-    sim.store.reads.clear();
-    sim.run_for(Span::secs(60));
-    println!("{:?}", count_calls(&sim));
-}
