--- a/crates/forward/tests/all/startup.rs
+++ b/crates/forward/tests/all/startup.rs
@@ -78,6 +78,10 @@
             assert!(served_after <= Span::secs(3), "after {served_after}");
             let calls: usize = cost.calls.values().sum();
             assert!(calls <= $calls, "{calls} calls");
+            assert!(cost.snapshots < 2 * $balancers, "{} snapshots", cost.snapshots);
+            // What one balancer sends in a second at 10 Mbit/s.
+            assert!(cost.bytes_max < 1_250_000, "{} bytes sent by one", cost.bytes_max);
+            assert!(cost.snapshot_bytes < 512 * 1_150, "{} bytes", cost.snapshot_bytes);
         }
     )*};
 }
