--- a/crates/forward/src/tick.rs
+++ b/crates/forward/src/tick.rs
@@ -239,7 +239,7 @@
     }
 }
 
-fn start_reads(state: &mut Forwarder, out: &mut Vec<Effect>) {
+pub(crate) fn start_reads(state: &mut Forwarder, out: &mut Vec<Effect>) {
     let now = state.now;
     let role = state.role;
     let may_read = transfer::step(state, out);
@@ -415,6 +415,7 @@
     if change.objects > 0 {
         peer::publish_changes(state, kind, &baseline, out);
     }
+    transfer::answer_waiting(state, out);
 }
 
 /// Handles a failed read.
--- a/crates/forward/tests/all/startup.rs
+++ b/crates/forward/tests/all/startup.rs
@@ -78,6 +78,10 @@
             assert!(served_after <= Span::secs(3), "after {served_after}");
             let calls: usize = cost.calls.values().sum();
             assert!(calls <= $calls, "{calls} calls");
+            assert!(cost.snapshots < 2 * $balancers, "{} snapshots", cost.snapshots);
+            // What one balancer sends in a second at 10 Mbit/s.
+            assert!(cost.bytes_max < 1_250_000, "{} bytes sent by one", cost.bytes_max);
+            assert!(cost.snapshot_bytes < 512 * 1_150, "{} bytes", cost.snapshot_bytes);
         }
     )*};
 }
@@ -269,14 +273,3 @@
     let took = restart(&mut sim, balancer);
     assert!(took <= Span::millis(3_200), "{took}");
 }
-
-/// Trial: prints what a quiet minute costs.
-#[test]
-#[ignore = "a trial that prints figures"]
-fn trial_quiet_minute_of_195() {
-    let mut sim = Simulation::new(1, 5, 195, 100);
-    sim.run_for(Span::secs(8));
-    sim.store.reads.clear();
-    sim.run_for(Span::secs(60));
-    println!("{:?}", count_calls(&sim));
-}
