host: the processor counts as short only while ticks are late

Cause: where the clock of processor time counts elapsed time, hosts seemed to use several times their quota and refused 90% of their flows.

--- a/crates/forward/src/host.rs
+++ b/crates/forward/src/host.rs
@@ -198,9 +198,11 @@
 }
 
 impl Usage {
-    /// Returns the greater use of link and processor, in percent; `None` if neither is known.
+    /// Returns the greater use of link and processor, in percent; `None` if neither is known. The
+    /// processor counts only while ticks are late.
     pub fn greatest(&self) -> Option<u32> {
-        self.link.max(self.processor)
+        let is_delayed = self.tick_delay >= processor::TICK_DELAY_MIN;
+        self.link.max(self.processor.filter(|_| is_delayed))
     }
 }
 
--- a/crates/forward/src/host/processor.rs
+++ b/crates/forward/src/host/processor.rs
@@ -12,6 +12,11 @@
 /// The number of windows that utilization is the mean of: 500 ms.
 pub(super) const WINDOWS: usize = 2;
 
+/// The delay of ticks from which the processor may count as short. A process within its quota is
+/// scheduled in time, whatever its clock of processor time says; callers notice a delay that is a
+/// fair part of their targets, 200 ms and more.
+pub const TICK_DELAY_MIN: Span = Span::millis(50);
+
 /// The processor time of the process, against its quota.
 #[derive(Clone, Debug)]
 pub struct Processor {
@@ -59,9 +64,9 @@
         self.windows.mean()
     }
 
-    /// Returns whether the use exceeds a bound in both of the last windows.
+    /// Returns whether the use exceeds a bound in both of the last windows, and ticks were late.
     pub fn is_above(&self, percent: u32) -> bool {
-        self.windows.is_above(percent)
+        self.windows.is_above(percent) && self.tick_delay() >= TICK_DELAY_MIN
     }
 
     /// Returns the longest delay of a tick in the last windows. A process that exceeds its quota is
--- a/crates/forward/tests/all/host.rs
+++ b/crates/forward/tests/all/host.rs
@@ -18,6 +18,8 @@
 /// The processor time of a packet, in microseconds.
 const PACKET_TIME: u64 = 100;
 const LINK_MBPS: f64 = 10.0;
+/// The delay of a tick of a process that has exceeded its quota.
+const THROTTLED: Span = Span::millis(60);
 
 /// New flows of one class: their number per second, and the packets of each, one every 5 ms.
 #[derive(Clone, Copy, Debug)]
@@ -43,6 +45,11 @@
     sample: Sample,
     /// Whether the processor time can be read.
     has_clock: bool,
+    /// Whether the process is scheduled late when it exceeds its quota.
+    is_throttled: bool,
+    cores: f64,
+    /// The processor time at the last tick.
+    used: Span,
     open: VecDeque<(Offer, u64)>,
     /// The part of the next flow of each offer that is due, in microseconds of a flow per second.
     due: Vec<u64>,
@@ -74,6 +81,9 @@
             now: START,
             sample: Sample::default(),
             has_clock: true,
+            is_throttled: true,
+            cores: 0.1,
+            used: Span::ZERO,
             open: VecDeque::new(),
             due: Vec::new(),
             flows: 0,
@@ -84,6 +94,11 @@
         Model::new(Capacity::default().with_link_mbps(LINK_MBPS))
     }
 
+    /// Returns the processor time that the quota allows in a tick, in microseconds.
+    fn tick_quota(&self) -> u64 {
+        (TICK.0 as f64 * self.cores) as u64
+    }
+
     /// Runs for a span under the offers, and returns what became of each.
     fn run(&mut self, span: Span, offers: &[Offer]) -> Vec<Outcome> {
         let end = self.now + span;
@@ -122,6 +137,12 @@
             self.open.retain(|&(_, left)| left > 0);
             if self.now.since(START).0 % TICK.0 == 0 {
                 let mut sample = self.sample;
+                let used = sample.processor.unwrap_or_default();
+                let is_throttled = self.is_throttled && used.0 - self.used.0 > self.tick_quota();
+                self.used = used;
+                if is_throttled {
+                    sample.tick_delay = THROTTLED;
+                }
                 sample.processor = sample.processor.filter(|_| self.has_clock);
                 self.host.observe(self.now, sample);
             }
@@ -263,6 +284,18 @@
     assert_eq!(model.host.usage().greatest(), None);
 }
 
+/// Guards against a clock that counts elapsed time as processor time, and against quotas that are not
+/// enforced: the process is scheduled in time.
+#[test]
+fn a_processor_without_delays_refuses_nothing() {
+    let mut model = Model::new(Capacity::default().with_cores(0.1));
+    model.is_throttled = false;
+    let outcomes = model.run(Span::secs(5), &[requests(3, 1_000)]);
+    assert!(model.host.usage().processor > Some(200));
+    assert_eq!(outcomes[0].refused, 0);
+    assert_eq!(model.host.usage().greatest(), None);
+}
+
 /// Guards against refusals that stay in force when the processor time cannot be read any more.
 #[test]
 fn an_unreadable_clock_refuses_nothing() {
--- a/crates/shell/src/packets/run/pace.rs
+++ b/crates/shell/src/packets/run/pace.rs
@@ -18,6 +18,7 @@
 
 use super::Loop;
 use crate::clock;
+use crate::packets::processor;
 
 /// Bytes of the headers of IP and UDP.
 const DATAGRAM_HEADER_BYTES: usize = 28;
@@ -34,6 +35,7 @@
     /// Bytes sent since the start, and those that wait or were dropped.
     bytes: u64,
     last_tick: Time,
+    processor: processor::Clock,
 }
 
 impl Outlet {
@@ -43,6 +45,7 @@
             pacer: Pacer::new(rate, now),
             bytes: 0,
             last_tick: now,
+            processor: processor::Clock::default(),
         }
     }
 
@@ -71,12 +74,16 @@
         self.pacer.queued_bytes() > 0
     }
 
-    fn sample(&mut self, now: Time) -> Sample {
+    fn sample(&mut self, now: Time, quota: Option<NonZeroU64>) -> Sample {
         let interval = now.since(self.last_tick);
         self.last_tick = now;
+        let processor = quota.and_then(|quota| {
+            let read = clock::processor_time();
+            self.processor.check(now, read, quota.get())
+        });
         Sample {
             bytes: self.bytes,
-            processor: clock::processor_time(),
+            processor,
             tick_delay: Span(interval.0.saturating_sub(forward::tick::PERIOD.0)),
             delayed: self.pacer.delayed(),
             dropped: self.pacer.dropped(),
@@ -139,7 +146,8 @@
     /// Tells the reducer what the process has used of its host, if the host's capacity is known.
     pub(super) fn observe_host(&mut self, now: Time) {
         if self.reducer.host().is_known() {
-            let event = Event::HostUse(self.outlet.sample(now));
+            let quota = self.shell.setting.forward.capacity.processor;
+            let event = Event::HostUse(self.outlet.sample(now, quota));
             self.reducer.step(now, event, &mut self.effects);
         }
     }
--- a/crates/shell/tests/packets.rs
+++ b/crates/shell/tests/packets.rs
@@ -11,6 +11,7 @@
 use shell::packets::fragment::Reassembler;
 use shell::packets::fragment::DATAGRAM_BYTES_MAX;
 use shell::packets::fragment::SENDERS_MAX;
+use shell::packets::processor::Clock;
 use shell::packets::queue::Queue;
 use shell::packets::queue::PEER_TICK_FRAGMENTS_MAX;
 use shell::packets::setting::Raw;
@@ -404,3 +405,20 @@
         "a peer's frames keep their order"
     );
 }
+
+/// Guards against hosts that refuse flows because the clock of processor time counts elapsed time.
+#[test]
+fn an_implausible_processor_clock_is_not_believed() {
+    let quota = 250_000;
+    let at = |millis: u64| Time::default() + Span::millis(millis);
+    let mut clock = Clock::default();
+    for millis in (0..5_000).step_by(25) {
+        let elapsed = Some(Span::millis(millis));
+        assert_eq!(clock.check(at(millis), elapsed, quota), None);
+    }
+    let used = |millis: u64| Some(Span::millis(1_250 + millis / 4));
+    for millis in (5_000..10_000).step_by(25) {
+        clock.check(at(millis), used(millis), quota);
+    }
+    assert_eq!(clock.check(at(10_000), used(10_000), quota), used(10_000));
+}
