--- a/crates/wire/tests/common/mod.rs
+++ b/crates/wire/tests/common/mod.rs
@@ -21,6 +21,7 @@
 use wire::frame::Record;
 use wire::frame::RecordKey;
 use wire::frame::Relay;
+use wire::frame::Snapshot;
 use wire::frame::Speed;
 use wire::frame::Update;
 
@@ -210,6 +211,12 @@
     let body = prop_oneof![
         relay().prop_map(Body::Relay),
         prop::collection::vec(speed(), 0..80).prop_map(Body::Speeds),
+        prop::collection::vec(any::<u8>(), 0..80).prop_map(|objects| {
+            Body::Snapshot(Snapshot {
+                kinds: Vec::new(),
+                objects: objects.into(),
+            })
+        }),
         handover().prop_map(Body::Handover),
         gossip.prop_map(|gossip| Body::Ping { seq: 1, gossip }),
         demand(),
