--- a/crates/wire/src/column.rs
+++ b/crates/wire/src/column.rs
@@ -2,8 +2,8 @@
 //!
 //! Each text is split into a template and its values: decimal numbers, hexadecimal numbers and
 //! words. The values of texts with the same template are stored by position, so that equal or
-//! slowly growing ones compress to little. 3,000 objects of servers take a fifth of the bytes that
-//! general compression alone leaves, which decides how fast a host with a slow link can pass them
+//! slowly growing ones compress to little. 3,000 objects of servers take a quarter of the bytes
+//! that general compression alone leaves (49 of 201 KB), which decides how fast a host with a slow link can pass them
 //! on.
 
 use std::collections::BTreeMap;
