--- a/crates/forward/src/setting.rs
+++ b/crates/forward/src/setting.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
+use strum::EnumString;
 
 use crate::cold::RateLimit;
 use crate::host::Capacity;
@@ -28,6 +29,19 @@
     pub grace: Span,
     /// The capacity of the host.
     pub capacity: Capacity,
+    /// Where a starting balancer takes the platform's objects from.
+    pub start_from: StartFrom,
+}
+
+/// Where a starting balancer takes the platform's objects from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, EnumString)]
+#[strum(serialize_all = "lowercase")]
+pub enum StartFrom {
+    /// The platform: one listing of each kind for each start. The soonest way for a small fleet.
+    #[default]
+    Platform,
+    /// Peers, and the platform only where no peer answers. Spares a large fleet most listings.
+    Peers,
 }
 
 /// The default factor on the rate of cold servers, in percent.
@@ -62,6 +76,7 @@
             out_after: OUT_AFTER,
             grace: GRACE,
             capacity: Capacity::default(),
+            start_from: StartFrom::default(),
         }
     }
 
@@ -94,4 +109,10 @@
         self.grace = grace;
         self
     }
+
+    /// Sets where a starting balancer takes the platform's objects from.
+    pub fn with_start_from(mut self, start_from: StartFrom) -> Setting {
+        self.start_from = start_from;
+        self
+    }
 }
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
+use std::num::NonZeroU64;
 
 use base::prelude::*;
 use conf::key;
@@ -262,7 +263,7 @@
 
     /// Returns the rate at which this host may send snapshots, in bytes per second.
     pub fn snapshot_rate(&self) -> u64 {
-        serve::rate(None)
+        serve::rate(self.setting.capacity.link.map(NonZeroU64::get))
     }
 
     /// Returns whether a planned stop has begun.
--- a/crates/forward/src/transfer.rs
+++ b/crates/forward/src/transfer.rs
@@ -13,6 +13,7 @@
 use crate::effect::Effect;
 use crate::feed;
 use crate::peer;
+use crate::setting::StartFrom;
 use crate::snapshot;
 use crate::startup;
 use crate::startup::serve::Answer;
@@ -22,7 +23,7 @@
 /// Asks a peer for a snapshot if one is due while objects of some kind are missing. Returns whether
 /// the platform may be read.
 pub(crate) fn step(state: &mut Forwarder, out: &mut Vec<Effect>) -> bool {
-    if state.feeds.are_synced() {
+    if state.setting.start_from == StartFrom::Platform || state.feeds.are_synced() {
         return true;
     }
     let step = state
--- a/crates/forward/tests/all/snapshot.rs
+++ b/crates/forward/tests/all/snapshot.rs
@@ -10,6 +10,7 @@
 use forward::feed::Update;
 use forward::prelude::*;
 use forward::role::Role;
+use forward::setting::StartFrom;
 use forward::startup;
 use forward::startup::serve;
 use forward::startup::serve::Answer;
@@ -209,6 +210,7 @@
 #[test]
 fn forged_snapshots_are_dropped_and_counted() {
     let mut sim = Simulation::new(30, 3, 9, 9);
+    sim.start_from = StartFrom::Peers;
     sim.run_for(Span::secs(3));
     sim.kill_balancer(8, Span::millis(100));
     // The balancer has started, and its request is under way.
--- a/crates/forward/tests/all/startup.rs
+++ b/crates/forward/tests/all/startup.rs
@@ -4,6 +4,7 @@
 
 use base::prelude::*;
 use forward::prelude::*;
+use forward::setting::StartFrom;
 
 use crate::sim::Links;
 use crate::sim::Simulation;
@@ -72,6 +73,7 @@
         #[test]
         fn $name() {
             let mut sim = Simulation::new($seed, $domains, $balancers, 3_000);
+            sim.start_from = StartFrom::Peers;
             let cost = start_all(&mut sim, Span::secs(4));
             println!("{cost:?}");
             let served_after = cost.served_after.expect("all balancers can serve");
@@ -96,6 +98,7 @@
 #[test]
 fn a_joint_start_on_slow_links() {
     let mut sim = Simulation::new(3, 5, 100, 3_000);
+    sim.start_from = StartFrom::Peers;
     let links = sim.links.get_or_insert_default();
     let mbps = [10, 50, 10, 100, 200];
     links.rates = (0..100)
@@ -125,6 +128,7 @@
 /// Returns a quiet deployment with simulated links.
 fn quiet_deployment(seed: u64) -> Simulation {
     let mut sim = Simulation::new(seed, 3, 27, 60);
+    sim.start_from = StartFrom::Peers;
     sim.links = Some(Links::default());
     sim.run_for(Span::secs(8));
     sim
@@ -257,6 +261,7 @@
 fn others_read_when_the_first_cannot() {
     for seed in 17..22 {
         let mut sim = Simulation::new(seed, 3, 27, 60);
+        sim.start_from = StartFrom::Peers;
         sim.store.rejected_balancers.extend(0..18);
         let cost = start_all(&mut sim, Span::secs(5));
         let served_after = cost.served_after.expect("all balancers can serve");
--- a/crates/shell/src/packets/setting.rs
+++ b/crates/shell/src/packets/setting.rs
@@ -11,6 +11,7 @@
 use base::prelude::*;
 use forward::cold::RateLimit;
 use forward::host::Capacity;
+use forward::setting::StartFrom;
 use forward::setting::CHANGE_DELAY_MAX;
 
 use crate::setting::Checker;
@@ -67,6 +68,8 @@
     pub link_mbps: Option<String>,
     /// Quota of processor time, in cores; 0 or empty if not known.
     pub cpu_quota: Option<String>,
+    /// Where a start takes the platform's objects from: `platform` or `peers`.
+    pub start_from: Option<String>,
 }
 
 /// Validated settings.
@@ -113,6 +116,7 @@
         fill(&mut self.grace_ms, "WASABI_GRACE_MS");
         fill(&mut self.link_mbps, "WASABI_LINK_MBPS");
         fill(&mut self.cpu_quota, "WASABI_CPU_QUOTA");
+        fill(&mut self.start_from, "WASABI_START_FROM");
         Ok(self)
     }
 }
@@ -185,6 +189,7 @@
         let grace = checker.check_number("grace-ms", raw.grace_ms, grace, 1..=TIME_MS_MAX);
         let link = checker.check_capacity("link-mbps", given(raw.link_mbps), LINK_MBPS_MAX);
         let cores = checker.check_capacity("cpu-quota", given(raw.cpu_quota), CPU_QUOTA_MAX);
+        let start_from = checker.check_start_from("start-from", given(raw.start_from));
         let capacity = Capacity::default().with_link_mbps(link).with_cores(cores);
         let peer = Peer {
             datagram: peer,
@@ -199,7 +204,8 @@
             .with_cold(cold)
             .with_out_after(Span::millis(out_after))
             .with_grace(Span::millis(grace))
-            .with_capacity(capacity);
+            .with_capacity(capacity)
+            .with_start_from(start_from);
         let setting = Setting {
             entry,
             peer_bind,
@@ -247,3 +253,15 @@
     let with_port = text.parse::<SocketAddr>().map(|address| address.ip());
     with_port.or_else(|_| text.parse()).ok()
 }
+
+impl Checker {
+    fn check_start_from(&mut self, flag: &'static str, value: Option<String>) -> StartFrom {
+        let Some(text) = value else {
+            return StartFrom::default();
+        };
+        text.trim().parse().unwrap_or_else(|_| {
+            self.add_fault(flag, format!("`{text}` is not platform or peers"));
+            StartFrom::default()
+        })
+    }
+}
--- a/crates/wasabid/src/flag.rs
+++ b/crates/wasabid/src/flag.rs
@@ -196,6 +196,12 @@
         "CORES",
         "processor time that the process may use, in cores, such as `0.25`; 0 or empty is not known [default: 0]",
     );
+    let start_from = text_flag(
+        "start-from",
+        "WASABI_START_FROM",
+        "SOURCE",
+        "where a start takes the platform's objects from: `platform`, or `peers` to spare a large fleet most calls [default: platform]",
+    );
     let raw = construct!(packets::Raw {
         name,
         domain,
@@ -213,6 +219,7 @@
         grace_ms,
         link_mbps,
         cpu_quota,
+        start_from,
     });
     construct!(dialect, settings, raw)
         .map(|(dialect, settings, raw)| Command::Forward(dialect, settings, Box::new(raw)))
