forward: opening packets of a backlog are refused silently

Change: while a backlog is read, a refusal drops the packet. A caller that still waits sends a copy, which is refused with a reset. Measured: the new test has an UnexpectedReset without the change.

--- a/crates/forward/src/opening.rs
+++ b/crates/forward/src/opening.rs
@@ -36,9 +36,15 @@
     if !state.table.has_routing() {
         return Verdict::Drop(Code::NotReady);
     }
-    match state.flows.get(id).copied() {
+    let verdict = match state.flows.get(id).copied() {
         Some(flow) => handle_retransmission(state, id, flow, out),
         None => assign_server(state, id, head, out),
+    };
+    match verdict {
+        // Another balancer may have opened the flow while the packet queued here, and a reset would
+        // end it. A caller that still waits sends a copy.
+        Verdict::Reset(code) if state.backlog.is_active(state.now) => Verdict::Drop(code),
+        verdict => verdict,
     }
 }
 
--- a/crates/forward/tests/all/overload.rs
+++ b/crates/forward/tests/all/overload.rs
@@ -8,6 +8,7 @@
 use forward::health::RESULT_LIFETIME_MIN;
 use forward::reach::Reach;
 
+use crate::admission;
 use crate::sim;
 use crate::sim::Outcome;
 use crate::sim::Simulation;
@@ -336,6 +337,22 @@
     }
 }
 
+/// Failure: a balancer is paused for a second during a crowd, and other balancers open the flows of the
+/// callers whose packets queue there. It must not refuse them with resets when it resumes.
+#[test]
+fn a_resumed_balancer_resets_no_flow_that_others_opened() {
+    for seed in 400..406 {
+        let mut sim = admission::deployment(seed, 20).with_rate(admission::rate(2.0));
+        sim.run_for(Span::secs(1));
+        for balancer in [0, 1, 2] {
+            sim.balancers[balancer].queue = Some(Vec::new());
+            sim.pause_balancer(balancer, Span::millis(1_190));
+        }
+        sim.run_for(Span::secs(3));
+        sim.assert_no_violations();
+    }
+}
+
 /// Failure: a server ends while the balancers are paused. The callers that still wait send copies.
 #[test]
 fn a_server_that_ends_in_a_pause_is_suspected_after_a_copy() {
