speed, wasabid: a shortest service time; SIGHUP before its handler is held back

Change: service times under 5 ms count as 5 ms. The signal is blocked until its handler is installed.

--- a/crates/forward/src/speed.rs
+++ b/crates/forward/src/speed.rs
@@ -64,6 +64,9 @@
 /// The service time that is assumed before any answer. Its multiple for a full queue is
 /// `ANSWER_TIMEOUT_MIN`.
 pub const SERVICE_TIME_DEFAULT: Span = Span::millis(50);
+/// The shortest service time that is told apart from others. What is left of an answer's time without
+/// the latency of links varies by a few milliseconds, and callers do not notice less.
+pub const SERVICE_TIME_MIN: Span = Span::millis(5);
 /// The factor of an unchanged speed (`Speeds::slowdown`), in thousandths.
 pub const UNIT_SLOWDOWN: u64 = 1_000;
 
@@ -227,7 +230,8 @@
     ) {
         let slots = u64::from(slots.max(1));
         let turns = slots.max(u64::from(ahead) + 1);
-        let sample = log(Span(took.0.saturating_mul(slots) / turns));
+        let service = Span(took.0.saturating_mul(slots) / turns);
+        let sample = log(service.max(SERVICE_TIME_MIN));
         let is_slow = self.is_slow(now, server);
         let totals = &mut self.pools[pool];
         let base = totals.log().unwrap_or(sample);
--- a/crates/shell/src/packets.rs
+++ b/crates/shell/src/packets.rs
@@ -18,6 +18,6 @@
 pub mod queue;
 pub mod run;
 pub mod setting;
-mod signal;
+pub mod signal;
 pub mod source;
 pub mod trace;
--- a/crates/wasabid/src/forward.rs
+++ b/crates/wasabid/src/forward.rs
@@ -19,6 +19,7 @@
 ///
 /// Without `file`, the settings file is the one that `platform::setting::path` returns, if any.
 pub(crate) fn start(dialect: Dialect, file: Option<PathBuf>, raw: Raw) -> eyre::Result<Outcome> {
+    shell::packets::signal::block_reload()?;
     let file = file.or_else(platform::setting::path);
     let setting = read_settings(&raw, file.as_deref()).map_err(Faults)?;
     let sink = shell::log::init_buffered(&setting.forward.name, &setting.log)?;
