--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -138,7 +138,7 @@
     draw_details(random, kind, span)
 }
 
-/// Draws the loads of a seed. They start within `span` and [`LOAD_TAIL`] after [`WARM_UP`].
+/// Draws the loads of a seed. They start within `span` and `LOAD_TAIL` after [`WARM_UP`].
 pub fn draw_loads(seed: u64, span: Span) -> Vec<Fault> {
     let mut random = ChaCha8Rng::seed_from_u64(seed ^ LOAD_SALT);
     let count = random.random_range(LOADS);
