--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -23,6 +23,7 @@
 //! - `speed`: service times of backend servers, from their answers.
 //! - `answer`: recognition of rejected requests by the size of their answers.
 //! - `health`: passive failure detection of backend servers, confirmed by health checks.
+//! - `owner`: which balancer opens flows to a cold server, and which one checks a suspected one.
 //! - `check`: scheduling and results of those health checks.
 //! - `cold`: slow start: the rate at which a cold backend server receives flows.
 //! - `mean`: exponentially smoothed values.
@@ -91,6 +92,7 @@
 pub mod note;
 pub mod observation;
 pub mod overview;
+mod owner;
 pub mod pace;
 pub mod packet;
 pub mod patch;
--- a/crates/forward/src/overview.rs
+++ b/crates/forward/src/overview.rs
@@ -15,6 +15,7 @@
 
 use crate::admission;
 use crate::demand::Demands;
+use crate::host::Usage;
 use crate::load::Loads;
 use crate::running;
 use crate::shortage::Shortages;
@@ -56,6 +57,15 @@
     pub processor_percent: Option<u32>,
 }
 
+impl From<Usage> for Host {
+    fn from(usage: Usage) -> Host {
+        Host {
+            link_percent: usage.link,
+            processor_percent: usage.processor,
+        }
+    }
+}
+
 /// A balancer.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Balancer {
@@ -195,6 +205,8 @@
     pub spills: &'a Spills,
     /// The recent shortages.
     pub shortages: &'a Shortages,
+    /// The utilization of the host; `None` if its limits are not known.
+    pub host: Option<Host>,
 }
 
 /// Returns the page.
@@ -217,7 +229,7 @@
     Page {
         balancer: view.group.local().name.clone(),
         domain: view.domain.to_owned(),
-        host: None,
+        host: view.host,
         pools: pools.collect(),
         balancers,
     }
