--- a/crates/shell/src/packets/run.rs
+++ b/crates/shell/src/packets/run.rs
@@ -38,6 +38,7 @@
 use crate::run::Outcome;
 
 mod pace;
+mod reload;
 mod send;
 
 /// Interval between ticks of the reducer.
@@ -207,7 +208,7 @@
             frame_id: 0,
             outlet: pace::Outlet::new(shell.setting.forward.capacity.link, now),
             send_queue: Queue::default(),
-            file_modified: modified_time(&shell),
+            file_modified: reload::modified_time(&shell),
             is_serving: false,
             start: now,
             outcome: None,
@@ -254,14 +255,13 @@
 
     /// Waits for the next input.
     async fn next_wake(&mut self) -> Wake {
-        let now = self.shell.clock.now();
         tokio::select! {
             result = self.shell.entry.recv(), if self.is_serving => Wake::Entry(result),
             result = self.shell.peers.recv() => Wake::Peers(result),
             Some(event) = self.events.recv() => Wake::Event(event),
             Some(query) = self.shell.queries.recv() => Wake::Query(query),
             _ = self.ticks.tick() => Wake::Tick,
-            () = self.outlet.wait(now), if self.outlet.holds() => Wake::Room,
+            () = self.outlet.wait(&self.shell.clock), if self.outlet.holds() => Wake::Room,
             _ = self.signals.terminate.recv() => Wake::Terminate,
             _ = self.signals.interrupt.recv() => Wake::Terminate,
             _ = self.signals.reload.recv() => Wake::Reload,
@@ -374,7 +374,7 @@
             self.flush_log();
         }
         if self.tick % FILE_CHECK_TICKS == 0 {
-            let modified = modified_time(&self.shell);
+            let modified = reload::modified_time(&self.shell);
             if modified != self.file_modified {
                 self.file_modified = modified;
                 self.reload(now);
@@ -416,32 +416,6 @@
         self.outcome = Some(Outcome::Quit);
     }
 
-    fn reload(&mut self, now: Time) {
-        let setting = match (self.shell.reload)() {
-            Ok(setting) => setting,
-            Err(why) => {
-                tracing::warn!(event = "reload-failed", code = %Code::BadSetting, why);
-                return;
-            }
-        };
-        let fixed = self.shell.setting.fixed_changes(&setting);
-        if !fixed.is_empty() {
-            let settings = fixed.join(",");
-            tracing::warn!(event = "reload-needs-restart", settings);
-        }
-        // These take effect only after a restart.
-        let old = &self.shell.setting.forward;
-        let mut forward = setting.forward;
-        forward.name = old.name.clone();
-        forward.domain = old.domain.clone();
-        forward.peer = old.peer;
-        forward.admin = old.admin;
-        self.shell.setting.forward = forward.clone();
-        self.set_link_rate(now, forward.capacity.link);
-        let event = Event::Setting(Box::new(forward));
-        self.reducer.step(now, event, &mut self.effects);
-    }
-
     fn answer_query(&mut self, query: Query) {
         // The HTTP request may have timed out, so a closed channel is not an error.
         match query {
@@ -493,11 +467,6 @@
     }
 }
 
-fn modified_time<C, S>(shell: &Shell<C, S>) -> Option<SystemTime> {
-    let meta = std::fs::metadata(shell.file.as_ref()?);
-    meta.and_then(|meta| meta.modified()).ok()
-}
-
 fn reducer_counts(reducer: &Forwarder) -> Vec<Count> {
     let own = reducer.counts().iter();
     let flows = [("flows", reducer.flows() as u64)];
--- a/crates/shell/src/packets/run/pace.rs
+++ b/crates/shell/src/packets/run/pace.rs
@@ -18,6 +18,7 @@
 
 use super::Loop;
 use crate::clock;
+use crate::clock::Clock;
 use crate::packets::processor;
 
 /// Bytes of the headers of IP and UDP.
@@ -62,8 +63,8 @@
     }
 
     /// Waits until a datagram that waits may be sent. Never returns if none waits. Cancel safe.
-    pub(super) async fn wait(&self, now: Time) {
-        match self.pacer.wait(now) {
+    pub(super) async fn wait(&self, clock: &Clock) {
+        match self.pacer.wait(clock.now()) {
             Some(span) => tokio::time::sleep(Duration::from_micros(span.0)).await,
             None => std::future::pending().await,
         }
