--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -108,6 +108,8 @@
     SlotsTaken = 312,
     /// Reset: the pool is short of capacity, and the share of the route's priority is used up.
     Overloaded = 313,
+    /// Reset: the balancer's host is short of link or processor, and refuses a share of flows.
+    HostFull = 314,
 
     /// The object has an unknown kind.
     UnknownKind = 400,
--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -7,7 +7,6 @@
 //! capacity of its failure domain by the number of live balancers there.
 
 use std::collections::BTreeMap;
-use std::collections::VecDeque;
 use std::fmt;
 use std::net::SocketAddrV4;
 
@@ -19,19 +18,20 @@
 use limit::share::Rate;
 use limit::share::PRIORITIES;
 
+use crate::answer;
 use crate::load::Loads;
+use crate::rate::Meter;
+use crate::rate::Window;
+use crate::refusal::Refusals;
+use crate::running;
 use crate::table::row::Row;
 use crate::table::Table;
 
 mod capacity;
-mod mean;
-mod meter;
 
 pub use capacity::Answer;
 use capacity::Estimate;
 use capacity::Path;
-use mean::Mean;
-use meter::Meter;
 
 /// The age from which the demand of other balancers no longer counts.
 pub const TOTAL_MAX_AGE: Span = Span::millis(1_500);
@@ -43,6 +43,10 @@
 const BUCKET_MIN: u64 = 2;
 /// The tokens of one flow: a rate of 10 tenths per second over one second.
 const TOKENS_PER_FLOW: u64 = 10 * Span::secs(1).0;
+/// Length of one step of the window of demand, in microseconds. The whole window of 200 ms holds
+/// several requests of a kind at most balancers, and is as short as the first retransmission time
+/// of callers.
+const DEMAND_STEP: u64 = 25_000;
 /// The period in which the load of a pool is assessed.
 const LOAD_PERIOD: Span = Span::millis(25);
 /// The part of the slots, in percent, of which more are taken in a loaded pool. Below it few
@@ -54,11 +58,6 @@
 /// How long a balancer that has lost all others of its failure domain shares the capacity with as
 /// many as before. Operators replace a lost host within this time.
 const ISOLATION_PERIOD: Span = Span::secs(60);
-/// How long a refused flow is remembered. A caller sends no copy of an opening packet later than
-/// 600 ms after the first, and abandons the attempt after 1.4 s.
-const REFUSAL_RETENTION: Span = Span::millis(1_500);
-/// Bounds the number of remembered refusals. A balancer refuses some hundred flows per second.
-const REFUSALS_MAX: usize = 4_096;
 /// Bounds the number of routes whose usual answers are remembered.
 const ROUTES_MAX: usize = 4_096;
 
@@ -107,6 +106,8 @@
     pub admitted: Rate,
     /// The rate of requests on open flows.
     pub committed: Rate,
+    /// The rate of new flows of all priorities and of requests on open flows.
+    pub demand: Rate,
     /// The capacity that was divided, in tenths of a request per second.
     pub capacity: Rate,
     /// The age of the demand at others; `None` if only this balancer's is known.
@@ -151,7 +152,10 @@
 
 #[derive(Clone, Debug, Default)]
 struct Pool {
-    meter: Meter,
+    /// The rates of new flows here.
+    offered: Meter<Window<DEMAND_STEP>>,
+    /// The rates of requests on open flows here.
+    committed: Meter<Window<DEMAND_STEP>>,
     estimate: Estimate,
     /// When the load was last assessed.
     assessed_at: Time,
@@ -171,11 +175,9 @@
     balancers: (Time, u32),
     pools: SecondaryMap<key::Pool, Pool>,
     /// The smoothed size of an answer on each route.
-    usual_answers: BTreeMap<SocketAddrV4, Mean>,
-    /// When flows were refused, by their hashes.
-    refused: BTreeMap<u64, Time>,
-    /// The same with the times, in order.
-    refusals: VecDeque<(Time, u64)>,
+    usual_answers: BTreeMap<SocketAddrV4, answer::Size>,
+    /// The flows that were refused a short while ago.
+    refused: Refusals,
 }
 
 impl Bucket {
@@ -213,7 +215,7 @@
     }
 
     fn running(&self, server: key::Server, row: &Row) -> u32 {
-        row.requests + self.loads.requests(server)
+        running::requests(row, self.loads, server, u32::MAX)
     }
 
     /// Returns the number of slots of the own failure domain; if it has none, of all domains.
@@ -245,7 +247,7 @@
         let has_free_slot =
             !self.is_claimed(now, supply.pool, priority) && self.has_free_slot(supply);
         let pool = &mut self.pools[supply.pool];
-        pool.meter.record_opening(now, priority);
+        pool.offered.record(now, priority);
         let bucket = &mut pool.buckets[share::index(priority)];
         if has_free_slot {
             bucket.take();
@@ -253,7 +255,10 @@
         }
         let total = total.filter(|total| total.age <= TOTAL_MAX_AGE);
         let slots = supply.slots();
-        let own = pool.meter.demand(now);
+        let own = Demand {
+            offered: pool.offered.rates(now),
+            committed: pool.committed.rates(now),
+        };
         let demand = total.map_or(own, |total| total.demand(&own));
         let least = pool.estimate.least(now);
         let capacity = match pool.estimate.capacity(now, slots) {
@@ -274,6 +279,7 @@
             offered,
             admitted,
             committed: demand.committed.iter().sum(),
+            demand: demand.sum(),
             capacity,
             age: total.map(|total| total.age),
             loads_age: supply.loads.oldest_report_age(now),
@@ -292,29 +298,14 @@
             return Decision::Admitted(basis);
         }
         pool.refused_at[index] = Some(now);
-        self.remember_refusal(now, flow);
+        self.refused.insert(now, flow);
         Decision::Refused(basis)
     }
 
     /// Returns whether a flow was refused a short while ago, so that this is a copy of its opening
     /// packet.
     pub fn is_refused(&self, now: Time, flow: u64) -> bool {
-        // Entries are only removed by later refusals, and a caller may use the flow's ports again.
-        let refused_at = self.refused.get(&flow);
-        refused_at.is_some_and(|&at| now.since(at) <= REFUSAL_RETENTION)
-    }
-
-    fn remember_refusal(&mut self, now: Time, flow: u64) {
-        while self.refusals.front().is_some_and(|&(at, _)| {
-            now.since(at) > REFUSAL_RETENTION || self.refusals.len() >= REFUSALS_MAX
-        }) {
-            if let Some((_, expired)) = self.refusals.pop_front() {
-                self.refused.remove(&expired);
-            }
-        }
-        if self.refused.insert(flow, now).is_none() {
-            self.refusals.push_back((now, flow));
-        }
+        self.refused.contains(now, flow)
     }
 
     /// Returns the number of balancers that share the capacity of the failure domain. A balancer
@@ -401,7 +392,7 @@
 
     /// Records a request on an open flow.
     pub fn record_request(&mut self, now: Time, pool: key::Pool, priority: u8) {
-        self.pools[pool].meter.record_request(now, priority);
+        self.pools[pool].committed.record(now, priority);
     }
 
     /// Records the time from an opening packet to the caller's next packet.
@@ -433,6 +424,11 @@
         pool.estimate.record(now, path, usual, answer);
     }
 
+    /// Returns the smoothed time that a request occupies a slot; `None` before the first answer.
+    pub fn service_time(&self, pool: key::Pool) -> Option<Span> {
+        self.pools[pool].estimate.service_time()
+    }
+
     /// Returns the lines of the dump: for each pool the estimate, and the latest decision of each
     /// priority.
     pub(crate) fn lines<'a>(
--- a/crates/forward/src/established.rs
+++ b/crates/forward/src/established.rs
@@ -13,10 +13,12 @@
 use crate::flow::REQUEST_TIMEOUT;
 use crate::load;
 use crate::note::Note;
+use crate::observation::Observation;
 use crate::packet::Flags;
 use crate::packet::Head;
 use crate::packet::Verdict;
 use crate::packet::NETWORK_DUPLICATE_WINDOW;
+use crate::running;
 use crate::state::Forwarder;
 use crate::token::Token;
 
@@ -47,6 +49,7 @@
         return reset_flow(state, id, server, out);
     }
     state.counts.add(Kind::Passed);
+    state.record_host_packet(head);
     let forward = Verdict::Forward {
         target,
         token: None,
@@ -72,6 +75,9 @@
     }
     if head.flags.fin || head.flags.rst {
         if let Some(flow) = state.remove_flow(id) {
+            if let Some(took) = flow.request_time() {
+                state.observe(id, Observation::Ended(took), out);
+            }
             let lasted = now.since(flow.opened_at);
             out.push(Effect::Closed { lasted });
         }
@@ -110,6 +116,7 @@
 
 /// Handles a packet without data: the caller has received a part of the response.
 fn handle_acknowledgement(state: &mut Forwarder, id: Id, head: &Head, out: &mut Vec<Effect>) {
+    let now = state.now;
     let flow = flow_mut(state, id);
     if flow.ack == head.ack {
         return;
@@ -118,7 +125,15 @@
     flow.ack = head.ack;
     let was_busy = std::mem::take(&mut flow.is_busy);
     let was_due = std::mem::take(&mut flow.awaits_answer);
+    // The first acknowledgement of a flow may be that of the handshake.
+    let first = match was_due || was_busy || flow.answered_at.is_some() {
+        true => flow.record_answer(now),
+        false => None,
+    };
     let flow = *flow;
+    if let Some(took) = first {
+        state.observe(id, Observation::Answered(took), out);
+    }
     if was_due {
         observe_answer(state, id, &flow, size, was_busy);
     }
@@ -145,7 +160,7 @@
     };
     let slots = row.slots;
     // The reports of peers may have shown only later that the slots were taken.
-    let others = load::requests(row, &state.loads, server);
+    let others = running::requests(row, &state.loads, server, load::capacity(slots));
     let had_free_slot = flow.ahead.max(others) < slots;
     if state.speeds.is_rejection(pool, size, had_free_slot) {
         state.counts.add(Kind::Rejected);
@@ -169,7 +184,8 @@
     let now = state.now;
     let flow = flow_mut(state, id);
     let waited = now.since(flow.data_sent_at);
-    let is_repeated = flow.is_busy && flow.is_repeated(head.seq);
+    // The request may have ceased to count as under way before the second retransmission.
+    let is_repeated = flow.awaits_answer && flow.is_repeated(head.seq);
     if is_repeated && waited < NETWORK_DUPLICATE_WINDOW {
         return;
     }
@@ -184,19 +200,21 @@
     let (moves, opened_at, basis) = (flow.moves, flow.opened_at, flow.basis);
     flow.is_resent = is_repeated;
     let was_due = std::mem::replace(&mut flow.awaits_answer, true);
+    // Data after an answer is the next request.
+    let ended = match is_logged && !was_due {
+        true => flow.start_request(now),
+        false => None,
+    };
+    if let Some(took) = ended {
+        state.observe(id, Observation::Ended(took), out);
+    }
     state.table.server_mut(server).requests += u32::from(!was_busy);
     time_request(state, id, server);
     if is_logged && !was_due {
         record_request(state, id, server);
     }
-    let row = state.table.server_mut(server);
-    if is_repeated && !has_progress && row.health.record_unanswered(now, sent_at) {
-        state.has_urgent_evidence = true;
-        out.push(Effect::Note(Note::Suspected {
-            server: row.name.clone(),
-            flow: id,
-            waited,
-        }));
+    if is_repeated && !has_progress {
+        record_resent(state, id, server, sent_at, out);
     }
     if !is_logged {
         out.push(Effect::Note(Note::Request {
@@ -210,10 +228,36 @@
     }
 }
 
+/// Records that data sent at `sent` arrived again without an answer. It may be the last evidence that
+/// the server is unreachable.
+fn record_resent(
+    state: &mut Forwarder,
+    id: Id,
+    server: key::Server,
+    sent: Time,
+    out: &mut Vec<Effect>,
+) {
+    let now = state.now;
+    let row = state.table.server_mut(server);
+    let was_unreachable = row.health.is_unreachable();
+    if row.health.record_resent(now, sent) {
+        out.push(Effect::Note(Note::Suspected {
+            server: row.name.clone(),
+            flow: id,
+            waited: now.since(sent),
+        }));
+    }
+    state.has_urgent_evidence |= row.health.is_urgent();
+    if !was_unreachable {
+        reset_unreachable(state, server, out);
+    }
+}
+
 /// Sets how long the request of a flow counts as under way, and what is ahead of it.
 fn time_request(state: &mut Forwarder, id: Id, server: key::Server) {
     let row = state.table.server(server);
-    let ahead = load::requests(row, &state.loads, server).saturating_sub(1);
+    let running = running::requests(row, &state.loads, server, load::capacity(row.slots));
+    let ahead = running.saturating_sub(1);
     let timeout = match row.pool {
         Some(pool) => state.speeds.answer_timeout(state.now, server, pool),
         None => REQUEST_TIMEOUT,
@@ -253,6 +297,7 @@
     let took = now.since(flow.data_sent_at);
     // The first request counts as under way from the opening packet on.
     let is_first = flow.data_sent_at.since(flow.opening_sent_at) < FIRST_REQUEST_DELAY;
+    let running = running::requests(row, &state.loads, flow.server, u32::MAX);
     let answer = admission::Answer {
         took,
         counted: match is_first {
@@ -260,7 +305,7 @@
             false => took,
         },
         bytes,
-        running: row.requests + u32::from(!was_busy) + state.loads.requests(flow.server),
+        running: running + u32::from(!was_busy),
         slots: row.slots,
         target: route.target,
     };
@@ -282,6 +327,16 @@
     }
 }
 
+/// Resets the open flows to a server if it has become unreachable.
+pub(crate) fn reset_unreachable(state: &mut Forwarder, server: key::Server, out: &mut Vec<Effect>) {
+    let row = state.table.server(server);
+    if row.health.is_unreachable() {
+        let name = row.name.clone();
+        out.push(Effect::Note(Note::Unreachable { server: name }));
+        reset_flows(state, server, out);
+    }
+}
+
 /// Resets the open flows to a server that has become unreachable. Callers that wait for a response
 /// would otherwise wait for their next retransmission, or for their deadlines. The others learn it
 /// before they send a request that must not be repeated.
--- a/crates/forward/src/opening.rs
+++ b/crates/forward/src/opening.rs
@@ -11,7 +11,9 @@
 use crate::flow::Flow;
 use crate::flow::Id;
 use crate::flow::Phase;
+use crate::host;
 use crate::note::Note;
+use crate::observation::Observation;
 use crate::packet::Head;
 use crate::packet::Verdict;
 use crate::packet::NETWORK_DUPLICATE_WINDOW;
@@ -34,9 +36,15 @@
     if !state.table.has_routing() {
         return Verdict::Drop(Code::NotReady);
     }
-    match state.flows.get(id).copied() {
+    let verdict = match state.flows.get(id).copied() {
         Some(flow) => handle_retransmission(state, id, flow, out),
         None => assign_server(state, id, head, out),
+    };
+    match verdict {
+        // Another balancer may have opened the flow while the packet queued here, and a reset would
+        // end it. A caller that still waits sends a copy.
+        Verdict::Reset(code) if state.backlog.is_active(state.now) => Verdict::Drop(code),
+        verdict => verdict,
     }
 }
 
@@ -45,13 +53,24 @@
         return refuse_flow(state, id, Code::NoService, out);
     };
     let (pool, priority) = (route.pool_for(id.hash()), route.priority);
+    let class = host::Class::new(route.kind, priority);
+    if state.host.gate().is_refused(state.now, id.hash()) {
+        state.counts.add(Kind::Copies);
+        return refuse_flow(state, id, Code::HostFull, out);
+    }
     if state.admission.is_refused(state.now, id.hash()) {
         state.counts.add(Kind::Copies);
         return refuse_flow(state, id, Code::Overloaded, out);
     }
+    if state.host.is_known() && !admit_to_host(state, id, class, out) {
+        return Verdict::Reset(Code::HostFull);
+    }
+    state.record_host_packet(head);
     if let Some(pool) = pool {
         if head.ack == 0 {
             state.demands.record_opening(state.now, pool, priority);
+            state.shortages.record_opening(state.now, pool, priority);
+            state.observe(id, Observation::Offered, out);
         }
         let is_controlled = state.table.pool(pool).has_priorities;
         // Selection defers a copy of an opening packet that never came here while no slot is free.
@@ -73,11 +92,30 @@
             defer_packet(state, id, head.ack, Code::FlowHeld, out)
         }
         Selection::ColdLimited | Selection::Unavailable => {
+            record_refusal(state, id, pool.map(|pool| (pool, priority)), out);
             refuse_flow(state, id, Code::NoServer, out)
         }
     }
 }
 
+/// Returns whether the host's link and processor admit a new flow. A flow of which another balancer
+/// had the first opening packet is decided on like any other.
+fn admit_to_host(state: &mut Forwarder, id: Id, class: host::Class, out: &mut Vec<Effect>) -> bool {
+    let gate = state.host.gate_mut();
+    if !gate.decide(state.now, class, id.hash()) {
+        return true;
+    }
+    state.counts.add(Kind::RefusedHost);
+    out.push(Effect::Note(Note::HostFull {
+        flow: id,
+        priority: class.priority(),
+        is_upload: class.is_upload(),
+        share: state.host.gate().share(class),
+        usage: state.host.usage(),
+    }));
+    false
+}
+
 /// Returns whether a new flow is admitted. Most are without any record; the others are decided by
 /// their priority's share of the pool's capacity.
 fn admit_flow(
@@ -110,6 +148,10 @@
         Decision::Admitted(basis) => (basis, true),
         Decision::Refused(basis) => (basis, false),
     };
+    if !is_admitted {
+        record_refusal(state, id, Some((pool, priority)), out);
+    }
+    state.shortages.record_decision(state.now, pool, basis);
     state.counts.add(match is_admitted {
         true => Kind::AdmittedShort,
         false => Kind::refused(priority),
@@ -122,6 +164,19 @@
     is_admitted
 }
 
+/// Counts a refused flow, by the pool and priority of its route if it has a pool.
+fn record_refusal(
+    state: &mut Forwarder,
+    id: Id,
+    pool: Option<(key::Pool, u8)>,
+    out: &mut Vec<Effect>,
+) {
+    if let Some((pool, priority)) = pool {
+        state.shortages.record_refusal(state.now, pool, priority);
+    }
+    state.observe(id, Observation::Refused, out);
+}
+
 fn count_spilled(state: &mut Forwarder, id: Id, server: key::Server) {
     let row = state.table.server(server);
     let preferred = row
@@ -154,6 +209,7 @@
     let mut flow = Flow::new(server, Phase::Opening, state.now).with_basis(basis);
     // The request follows at once.
     flow.is_busy = true;
+    flow.is_backlog = state.backlog.is_active(state.now);
     if !state.insert_flow(id, flow) {
         state.counts.add(Kind::Unrecorded);
     }
@@ -173,8 +229,13 @@
     if flow.phase == Phase::Open || now.since(flow.opening_sent_at) < NETWORK_DUPLICATE_WINDOW {
         return forward_to(state, id, flow.server);
     }
+    // A copy that may have queued as well does not show that the caller still waits.
+    let is_waiting = !state.backlog.is_active(now);
+    if let Some(entry) = state.flows.get_mut(id).filter(|_| is_waiting) {
+        entry.is_backlog = false;
+    }
     let row = state.table.server_mut(flow.server);
-    if row.health.record_unanswered(now, flow.opening_sent_at) {
+    if is_waiting && row.health.record_unanswered(now, flow.opening_sent_at) {
         out.push(Effect::Note(Note::Suspected {
             server: row.name.clone(),
             flow: id,
@@ -191,6 +252,8 @@
             return resend(state, id, flow.server);
         }
         state.remove_flow(id);
+        let priority = state.table.route(id.service).map(|route| route.priority);
+        record_refusal(state, id, pool.zip(priority), out);
         return refuse_flow(state, id, Code::NoServer, out);
     };
     out.push(Effect::Note(Note::Moved {
@@ -202,16 +265,21 @@
     }));
     state.counts.add(Kind::Moves);
     state.table.server_mut(flow.server).remove_flow(&flow);
-    state.table.server_mut(server).add_flow(&flow);
+    // The caller waits, so that its request follows at once.
+    let mut moved = flow;
+    moved.is_busy = true;
+    state.table.server_mut(server).add_flow(&moved);
     let entry = state
         .flows
         .get_mut(id)
         .expect("a retransmission belongs to a flow in the table");
+    entry.is_busy = true;
     entry.server = server;
     entry.opening_sent_at = now;
     entry.last_seen = now;
     entry.moves = entry.moves.saturating_add(1);
     entry.basis = basis;
+    state.flows.queue_request(id);
     forward_to(state, id, server)
 }
 
@@ -246,7 +314,7 @@
         except,
         is_retransmitted,
     };
-    selector.select(pool, |server| state.is_cold_owner(server))
+    selector.select(pool, |server| state.may_open_cold(server))
 }
 
 /// Forwards an opening packet to a server with its route token. If the server is cold, its next new
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -1,5 +1,4 @@
-//! Membership, and the frames that balancers exchange: updates of platform objects, resync requests
-//! and, with `report`, load reports.
+//! Membership and exchanged frames: updates of platform objects, resync requests, load reports.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -106,6 +105,7 @@
         Body::Speeds(speeds) => state.apply_speeds(from, &speeds),
         Body::Demand(pools) => report::apply_demand(state, from, &pools),
         Body::DomainDemand(summary) => report::apply_summary(state, from, summary, out),
+        Body::HostUse(announced) => report::apply_host_use(state, from, announced),
         body => transfer::handle_frame(state, from, peer, body, out),
     }
 }
--- a/crates/forward/src/setting.rs
+++ b/crates/forward/src/setting.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
+use strum::EnumString;
 
 use crate::cold::RateLimit;
+use crate::host::Capacity;
 
 /// The settings of a balancer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -25,6 +27,21 @@
     pub out_after: Span,
     /// Bounds the duration of a planned stop.
     pub grace: Span,
+    /// The capacity of the host.
+    pub capacity: Capacity,
+    /// Where a starting balancer takes the platform's objects from.
+    pub start_from: StartFrom,
+}
+
+/// Where a starting balancer takes the platform's objects from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, EnumString)]
+#[strum(serialize_all = "lowercase")]
+pub enum StartFrom {
+    /// The platform: one listing of each kind for each start. The soonest way for a small fleet.
+    #[default]
+    Platform,
+    /// Peers, and the platform only where no peer answers. Spares a large fleet most listings.
+    Peers,
 }
 
 /// The default factor on the rate of cold servers, in percent.
@@ -32,6 +49,9 @@
 /// The default time until open flows into a failure domain that is out are cut: the domain has to
 /// receive no more packets a few seconds after the operator's change.
 pub const OUT_AFTER: Span = Span::secs(3);
+/// The longest time until an operator's change is in force on every balancer that is reached. Open
+/// flows into a failure domain that is out are cut this much before the operator's bound.
+pub const CHANGE_DELAY_MAX: Span = Span::secs(2);
 /// The default bound on the duration of a planned stop.
 pub const GRACE: Span = Span::secs(5);
 
@@ -55,6 +75,8 @@
             },
             out_after: OUT_AFTER,
             grace: GRACE,
+            capacity: Capacity::default(),
+            start_from: StartFrom::default(),
         }
     }
 
@@ -76,9 +98,21 @@
         self
     }
 
+    /// Sets the capacity of the host.
+    pub fn with_capacity(mut self, capacity: Capacity) -> Setting {
+        self.capacity = capacity;
+        self
+    }
+
     /// Sets the bound on the duration of a planned stop.
     pub fn with_grace(mut self, grace: Span) -> Setting {
         self.grace = grace;
         self
     }
+
+    /// Sets where a starting balancer takes the platform's objects from.
+    pub fn with_start_from(mut self, start_from: StartFrom) -> Setting {
+        self.start_from = start_from;
+        self
+    }
 }
--- a/crates/forward/src/startup.rs
+++ b/crates/forward/src/startup.rs
@@ -10,14 +10,20 @@
 
 use base::hash;
 use base::prelude::*;
+use conf::object::Kind;
 use member::Group;
 use member::Member;
 
+use crate::feed;
+
 pub mod serve;
 
 /// The time without an answer, or without a further fragment, after which the next peer is asked.
 /// It exceeds the round trip to a host that runs only every 100 ms because of its processor quota.
 pub const REQUEST_PERIOD: Span = Span::millis(150);
+/// The same before any member is known: each of three seeds is asked before `FIRST_READ_DELAY`, since
+/// they may start a moment later.
+pub const SEED_REQUEST_PERIOD: Span = Span::millis(50);
 /// When the first balancer of a failure domain reads the platform: two requests have been without an
 /// answer by then.
 pub const FIRST_READ_DELAY: Span = Span::millis(200);
@@ -39,10 +45,6 @@
 /// How long a snapshot is accepted after its request. It bounds the age of a snapshot that was long
 /// under way.
 pub const REQUEST_LIFETIME: Span = Span::secs(3);
-/// The oldest confirmation by the platform with which a snapshot is put in force at once. It is the
-/// bound up to which peers publish watermarks. An older one first needs a confirmation: a watermark,
-/// a read, or a read that fails, which shows that no balancer can know more.
-pub const SNAPSHOT_AGE_MAX: Span = crate::feed::WATERMARK_AGE_MAX;
 /// How long watermarks have to confirm a snapshot: the longest period of watermarks, and the way.
 pub const CONFIRMATION_WAIT: Span = Span::millis(500);
 /// Every how many requests a peer of any failure domain is asked, beginning with the third one.
@@ -82,6 +84,8 @@
     is_first_asked: bool,
     /// The number of requests so far.
     count: usize,
+    /// When a member was first asked.
+    member_asked_at: Option<Time>,
     may_read: bool,
     /// When the platform is read because a snapshot was not confirmed.
     read_at: Option<Time>,
@@ -99,6 +103,7 @@
             requests: Vec::new(),
             is_first_asked: false,
             count: 0,
+            member_asked_at: None,
             may_read: false,
             read_at: None,
         }
@@ -110,7 +115,12 @@
     /// balancers there are.
     pub fn step(&mut self, now: Time, group: &Group, seeds: &[SocketAddr]) -> Step {
         let rank = rank(group);
-        self.may_read |= now.since(self.answered_until) >= read_delay(rank, self.is_answered);
+        let is_due = now.since(self.answered_until) >= read_delay(rank, self.is_answered);
+        // A peer that became known a moment ago may still answer.
+        let is_alone = group.members().nth(1).is_none();
+        let asked_at = self.member_asked_at;
+        let is_asked = asked_at.is_some_and(|at| now.since(at) >= SEED_REQUEST_PERIOD);
+        self.may_read |= is_due && (is_alone || is_asked);
         let limit = Span(BUSY_MAX.0 + READ_DELAY_PER_RANK.0 * rank);
         self.may_read |= now.since(self.started_at) >= limit;
         self.may_read |= self.read_at.is_some_and(|at| now >= at);
@@ -120,7 +130,10 @@
         };
         if let Some(to) = ask {
             self.count += 1;
-            self.ask_at = now + REQUEST_PERIOD;
+            if !is_alone {
+                self.member_asked_at.get_or_insert(now);
+            }
+            self.ask_at = now + request_period(group);
             self.requests
                 .retain(|request| request.to != to && now.since(request.at) < REQUEST_LIFETIME);
             self.requests.push(Request { to, at: now });
@@ -138,11 +151,12 @@
         }
     }
 
-    /// Records that a peer is busy. `named` is the peer to ask instead.
+    /// Records that a peer is busy. `named` is the peer to ask instead. A peer without a snapshot
+    /// that names this balancer lets it read the platform.
     pub fn record_busy(
         &mut self,
         now: Time,
-        from: SocketAddr,
+        (own, from): (SocketAddr, SocketAddr),
         wait: Span,
         named: Option<SocketAddr>,
     ) {
@@ -154,6 +168,10 @@
             self.named = named.or(Some(from));
             return;
         }
+        if named == Some(own) {
+            self.may_read = true;
+            return;
+        }
         // The peer has no snapshot, and names the first balancer of this one's failure domain. That
         // does not put off the reads of the other ones: the named one may be dead.
         self.is_answered = true;
@@ -198,6 +216,13 @@
             |member: &&Member| member.state.is_live() && member.incarnation != me.incarnation;
         let peers = || group.members().filter(live);
         let last = self.requests.last().map(|request| request.to);
+        // Before any member is known, the seeds are asked in order, so that balancers that start
+        // together ask the same one.
+        if peers().next().is_none() {
+            let others = seeds.iter().filter(|seed| **seed != me.peer.datagram);
+            let others: Vec<SocketAddr> = others.copied().collect();
+            return others.get(self.count % others.len().max(1)).copied();
+        }
         // The named peer may have started a moment ago, so that it is not known here yet.
         if let Some(named) = self.named.take() {
             return Some(named);
@@ -228,6 +253,25 @@
     }
 }
 
+/// Returns the oldest confirmation by the platform with which a snapshot is put in force at once: the
+/// bound up to which peers publish watermarks, and for failure domains the time that a change of
+/// another kind may hide one of theirs. An older one first needs a confirmation: a watermark, a read,
+/// or a read that fails, which shows that this balancer cannot know more.
+pub fn snapshot_age_max(kind: Kind) -> Span {
+    match kind {
+        Kind::Domain => Span(feed::WATERMARK_AGE_MAX.0 + feed::DOMAIN_CATCH_UP_TIMEOUT.0),
+        _ => feed::WATERMARK_AGE_MAX,
+    }
+}
+
+/// Returns the time after which the next peer is asked.
+fn request_period(group: &Group) -> Span {
+    match group.members().nth(1) {
+        Some(_) => REQUEST_PERIOD,
+        None => SEED_REQUEST_PERIOD,
+    }
+}
+
 /// Returns the time without an answer after which a balancer reads the platform.
 fn read_delay(rank: u64, is_answered: bool) -> Span {
     if rank == 0 && !is_answered {
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -1,6 +1,8 @@
 //! The reducer: its state, readiness, and the ownership of cold servers and checks.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddrV4;
+use std::num::NonZeroU64;
 
 use base::prelude::*;
 use conf::key;
@@ -8,7 +10,10 @@
 use wire::frame::Speed;
 
 use crate::admission;
+use crate::backlog;
+use crate::backlog::Backlog;
 use crate::check;
+use crate::cold;
 use crate::contact::Contacts;
 use crate::count::Counts;
 use crate::demand::Demands;
@@ -21,10 +26,15 @@
 use crate::flow::Flow;
 use crate::flow::Flows;
 use crate::flow::Id;
+use crate::host;
+use crate::host::Host;
 use crate::load;
 use crate::load::Loads;
 use crate::note::Note;
+use crate::observation::Observation;
 use crate::opening;
+use crate::overview;
+use crate::pace::Rank;
 use crate::packet::Head;
 use crate::packet::Verdict;
 use crate::peer;
@@ -32,6 +42,7 @@
 use crate::report;
 use crate::role::Role;
 use crate::setting::Setting;
+use crate::shortage::Shortages;
 use crate::snapshot;
 use crate::speed::Speeds;
 use crate::spill::Spills;
@@ -61,6 +72,12 @@
     pub(crate) contacts: Contacts,
     /// Whether this balancer reaches the store.
     pub(crate) reach: Reach,
+    /// Whether packets may have queued before they were read.
+    pub(crate) backlog: Backlog,
+    /// The recent openings that were lost without a copy.
+    pub(crate) lost_openings: backlog::Lost,
+    /// The balancers that may own cold servers.
+    pub(crate) owners: cold::Owners,
     /// The restart hints that have not been sent.
     pub(crate) hints: Vec<report::Hint>,
     /// Whether the balancer was ready at the last tick.
@@ -78,6 +95,10 @@
     /// When the last packet of a caller arrived.
     pub(crate) last_packet_at: Time,
     pub(crate) timers: tick::Timers,
+    /// The pools that were short of capacity in the last minute.
+    pub(crate) shortages: Shortages,
+    /// The use of the host's link and processor.
+    pub(crate) host: Host,
     /// The start: requests for a snapshot, and reads of the platform.
     pub(crate) startup: Startup,
     /// The balancers that are sent a snapshot.
@@ -90,6 +111,7 @@
     /// Returns a balancer without any replicated state.
     pub fn new(setting: Setting, now: Time) -> Forwarder {
         let group = peer::new_group(&setting, now);
+        let host = Host::new(setting.capacity);
         let speeds = Speeds::default().with_balancer(group.local().incarnation);
         Forwarder {
             group,
@@ -107,6 +129,9 @@
             counts: Counts::default(),
             contacts: Contacts::default(),
             reach: Reach::default(),
+            backlog: Backlog::new(now),
+            lost_openings: backlog::Lost::default(),
+            owners: cold::Owners::default(),
             hints: Vec::new(),
             was_ready: false,
             stopping_since: None,
@@ -116,6 +141,8 @@
             repeat_until: Time::default(),
             last_packet_at: now,
             timers: tick::Timers::new(now),
+            shortages: Shortages::default(),
+            host,
             startup: Startup::new(now),
             server: serve::Server::default(),
             snapshot: None,
@@ -126,6 +153,7 @@
     pub fn handle_packet(&mut self, now: Time, head: &Head, out: &mut Vec<Effect>) -> Verdict {
         self.now = now;
         self.last_packet_at = now;
+        self.backlog.record_event(now);
         match head.flags.syn {
             true => opening::handle_packet(self, head, out),
             false => established::handle_packet(self, head, out),
@@ -135,6 +163,7 @@
     /// Applies an event, and appends the work for the driver to `out`.
     pub fn step(&mut self, now: Time, event: Event, out: &mut Vec<Effect>) {
         self.now = now;
+        self.backlog.record_event(now);
         match event {
             Event::Tick => tick::tick(self, out),
             Event::Objects {
@@ -159,6 +188,7 @@
             Event::Resumed(pause) => self.resume(pause, out),
             Event::Setting(setting) => self.reload(*setting, out),
             Event::Stop => self.stop(out),
+            Event::HostUse(sample) => report::observe_host(self, sample, out),
         }
     }
 
@@ -167,10 +197,13 @@
         self.table.has_routing() && self.feeds.are_synced()
     }
 
-    /// Returns whether the balancer can serve packets, is not stopping and is not isolated from the
-    /// backend servers.
+    /// Returns whether the balancer can serve packets, is not stopping, is not isolated from the
+    /// backend servers and has not withdrawn because its host is full.
     pub fn is_ready(&self) -> bool {
-        self.can_serve() && self.stopping_since.is_none() && !self.is_isolated()
+        self.can_serve()
+            && self.stopping_since.is_none()
+            && !self.is_isolated()
+            && !self.host.readiness().is_withdrawn()
     }
 
     /// Returns whether callers should use other balancers: operators have taken this failure domain
@@ -181,9 +214,9 @@
             return true;
         }
         let mut present = self.table.servers().filter(|(_, row)| row.is_present());
-        let unreachable = |(_, row): (key::Server, &table::row::Row)| row.health.is_unreachable();
-        let is_unreachable = self.table.servers().next().is_some() && present.all(unreachable);
-        is_unreachable
+        let silent = |(_, row): (key::Server, &table::row::Row)| row.health.is_silent();
+        let is_silent = self.table.servers().next().is_some() && present.all(silent);
+        is_silent
             || self
                 .table
                 .pools()
@@ -230,7 +263,7 @@
 
     /// Returns the rate at which this host may send snapshots, in bytes per second.
     pub fn snapshot_rate(&self) -> u64 {
-        serve::rate(None)
+        serve::rate(self.setting.capacity.link.map(NonZeroU64::get))
     }
 
     /// Returns whether a planned stop has begun.
@@ -263,6 +296,22 @@
         &self.spills
     }
 
+    /// Returns the admin page about shortages.
+    pub fn overview(&self) -> overview::Page {
+        overview::page(&overview::View {
+            now: self.now,
+            domain: &self.setting.domain,
+            table: &self.table,
+            group: &self.group,
+            loads: &self.loads,
+            speeds: &self.speeds,
+            admission: &self.admission,
+            demands: &self.demands,
+            spills: &self.spills,
+            shortages: &self.shortages,
+        })
+    }
+
     /// Returns the exchange of demand, with the state that it reads and the demand that it changes.
     pub(crate) fn exchange_parts(&mut self) -> (&mut Exchange, &mut Demands, View<'_>) {
         let view = View {
@@ -275,6 +324,35 @@
         (&mut self.exchange, &mut self.demands, view)
     }
 
+    /// Returns the use of the host's link and processor.
+    pub fn host(&self) -> &Host {
+        &self.host
+    }
+
+    /// Returns the class by which the host refuses the flows of a service address; `None` if no route
+    /// has the address.
+    pub(crate) fn host_class(&self, service: SocketAddrV4) -> Option<host::Class> {
+        let route = self.table.route(service)?;
+        Some(host::Class::new(route.kind, route.priority))
+    }
+
+    /// Returns the rank of a packet that waits for the host's link. Packets without a route go first:
+    /// they are few, since their flows have lost it.
+    pub fn rank(&self, head: &Head) -> Rank {
+        let class = self.host_class(head.service);
+        class.map_or(Rank::FIRST, |class| Rank::new(head, class))
+    }
+
+    /// Records a forwarded packet as use of the host.
+    pub(crate) fn record_host_packet(&mut self, head: &Head) {
+        if !self.host.is_known() {
+            return;
+        }
+        if let Some(class) = self.host_class(head.service) {
+            self.host.gate_mut().record_packet(class, head.length);
+        }
+    }
+
     /// Returns the number of flows in the flow table.
     pub fn flows(&self) -> usize {
         self.flows.len()
@@ -305,6 +383,57 @@
         first == Some(self.incarnation())
     }
 
+    /// Returns whether this balancer may open flows at a cold server: it is the owner, and the flows
+    /// of an earlier owner no longer count.
+    pub(crate) fn may_open_cold(&self, server: key::Server) -> bool {
+        let row = self.table.server(server);
+        let domain = &self.table.domain(row.domain).name;
+        self.owners.may_open(self.now, domain, row.tenure) && self.is_cold_owner(server)
+    }
+
+    /// Observes which balancers may own cold servers, and since when this one does.
+    pub(crate) fn observe_owners(&mut self) {
+        let now = self.now;
+        self.owners.start_observation(now);
+        let live = self.group.members().filter(|member| member.state.is_live());
+        let is_alone = live.count() <= 1;
+        for domain in self.table.domains() {
+            let name = &domain.name;
+            let live = || {
+                let live = self.group.members().filter(|member| member.state.is_live());
+                live.map(|member| member.incarnation)
+            };
+            let eligible = self.group.owners_in(name).map(|member| member.incarnation);
+            let mut eligible = eligible.peekable();
+            let local = self.group.alive_in(name).map(|member| member.incarnation);
+            // Incarnations are sorted by their start.
+            let oldest = local.min().or_else(|| live().min());
+            let oldest = oldest.map_or(now, Incarnation::start_time);
+            match eligible.peek() {
+                Some(_) => self.owners.observe(now, name, eligible, oldest, is_alone),
+                None => self.owners.observe(now, name, live(), oldest, is_alone),
+            }
+        }
+        let changes: Vec<(key::Server, cold::Tenure)> = self
+            .table
+            .servers()
+            .filter_map(|(server, row)| {
+                let tenure = match self.table.is_cold(server, now) {
+                    true => {
+                        let view = self.owners.view(&self.table.domain(row.domain).name);
+                        let owns = || self.is_cold_owner(server);
+                        row.tenure.observed(now, view, owns)
+                    }
+                    false => cold::Tenure::Unknown,
+                };
+                (tenure != row.tenure).then_some((server, tenure))
+            })
+            .collect();
+        for (server, tenure) in changes {
+            self.table.server_mut(server).tenure = tenure;
+        }
+    }
+
     /// Returns the place of this balancer among those of its failure domain that may check a
     /// server, by rendezvous hash. 0 is the checker.
     pub(crate) fn checker_rank(&self, server: key::Server) -> u64 {
@@ -332,6 +461,14 @@
         }
     }
 
+    /// Reports an observation of a flow, unless its route is gone.
+    pub(crate) fn observe(&self, id: Id, observation: Observation, out: &mut Vec<Effect>) {
+        if let Some(route) = self.table.route(id.service) {
+            let class = route.into();
+            out.push(Effect::Observed { class, observation });
+        }
+    }
+
     /// Adds a flow. Returns whether there was room.
     pub(crate) fn insert_flow(&mut self, id: Id, flow: Flow) -> bool {
         let is_inserted = self.flows.insert(id, flow);
@@ -350,6 +487,8 @@
 
     fn resume(&mut self, pause: Span, out: &mut Vec<Effect>) {
         out.push(Effect::Note(Note::Resumed { pause }));
+        self.owners.record_pause(self.now);
+        self.backlog.begin(self.now);
         // Flows that went unanswered during the pause say nothing about their servers' health.
         for flow in self.flows.remove_all() {
             self.table.server_mut(flow.server).remove_flow(&flow);
@@ -360,6 +499,7 @@
 
     fn reload(&mut self, setting: Setting, out: &mut Vec<Effect>) {
         let seeds = setting.seeds.clone();
+        self.host.set_capacity(setting.capacity);
         self.setting = setting;
         out.push(Effect::Note(Note::Reloaded));
         peer::add_candidates(self, seeds, out);
--- a/crates/forward/src/transfer.rs
+++ b/crates/forward/src/transfer.rs
@@ -13,6 +13,7 @@
 use crate::effect::Effect;
 use crate::feed;
 use crate::peer;
+use crate::setting::StartFrom;
 use crate::snapshot;
 use crate::startup;
 use crate::startup::serve::Answer;
@@ -22,7 +23,7 @@
 /// Asks a peer for a snapshot if one is due while objects of some kind are missing. Returns whether
 /// the platform may be read.
 pub(crate) fn step(state: &mut Forwarder, out: &mut Vec<Effect>) -> bool {
-    if state.feeds.are_synced() {
+    if state.setting.start_from == StartFrom::Platform || state.feeds.are_synced() {
         return true;
     }
     let step = state
@@ -62,7 +63,12 @@
             peer: named,
         } if is_member => {
             let wait = Span::millis(wait_ms.into());
-            state.startup.record_busy(state.now, peer, wait, named);
+            let own = state.setting.peer.datagram;
+            state
+                .startup
+                .record_busy(state.now, (own, peer), wait, named);
+            // The named peer is asked, or the platform read, without waiting for the next tick.
+            tick::start_reads(state, out);
         }
         Body::Snapshot(snapshot) if is_member => apply(state, from, peer, &snapshot, out),
         Body::SnapshotRequest | Body::SnapshotBusy { .. } | Body::Snapshot(_) => {
@@ -74,8 +80,9 @@
     }
 }
 
-/// Answers a request while there is no snapshot here: the sender is remembered, and told that this
-/// balancer is reading the platform, or that another one is the first of its failure domain.
+/// Answers a request while there is no snapshot here. A seed names the balancer of the sender's
+/// failure domain that reads the platform, which may be the sender. Others name the first balancer
+/// of the domain, and tell their own domain if they are reading the platform.
 fn refer(
     state: &mut Forwarder,
     from: Incarnation,
@@ -83,18 +90,24 @@
     domain: &str,
     out: &mut Vec<Effect>,
 ) {
-    state.server.record_waiting(state.now, to);
-    let is_reading = domain == state.setting.domain && state.feeds.are_being_read();
-    let first = state.group.alive_in(domain).next();
-    let first = first.filter(|first| first.incarnation < from);
-    let first = first.map(|first| (first.incarnation, first.peer.datagram));
-    let (wait, peer) = match first {
-        _ if is_reading => (startup::REQUEST_PERIOD, None),
-        Some((first, at)) if first != state.incarnation() => (Span::ZERO, Some(at)),
-        Some(_) => (Span::ZERO, None),
-        None => return,
+    let now = state.now;
+    let own = state.setting.peer.datagram;
+    if domain == state.setting.domain && state.feeds.are_being_read() {
+        state.server.record_waiting(now, to);
+        return send_busy(state, to, startup::REQUEST_PERIOD, None, out);
+    }
+    let named = match state.setting.seeds.contains(&own) {
+        true => Some(state.server.choose_reader(now, domain, to)),
+        false => {
+            let first = state.group.alive_in(domain).next();
+            let first = first.filter(|first| first.incarnation < from);
+            first.map(|first| first.peer.datagram)
+        }
     };
-    send_busy(state, to, wait, peer, out);
+    match named.filter(|named| *named != own) {
+        Some(_) => send_busy(state, to, Span::ZERO, named, out),
+        None => state.server.record_waiting(now, to),
+    }
 }
 
 fn send_busy(
@@ -172,7 +185,8 @@
         let change = feed.apply_snapshot(now, &update);
         tick::apply_change(state, kind, change, Some(from), out);
     }
-    if !state.feeds.are_synced() {
-        state.startup.record_unconfirmed(now);
+    match state.feeds.are_synced() {
+        true => answer_waiting(state, out),
+        false => state.startup.record_unconfirmed(now),
     }
 }
--- a/crates/forward/tests/all/sim/driver.rs
+++ b/crates/forward/tests/all/sim/driver.rs
@@ -16,6 +16,9 @@
 use super::FAILED_PROBES_THRESHOLD;
 use super::PROBE_INTERVAL;
 
+/// The time after which a check without a connection ends, as in crate `plat`.
+const CONNECT_TIMEOUT: Span = Span::millis(200);
+
 impl Simulation {
     pub(super) fn run_task(&mut self, task: Task) {
         match task {
@@ -24,6 +27,10 @@
                 if self.balancers[balancer].incarnation == incarnation {
                     self.step_balancer(balancer, Event::Resumed(span));
                 }
+                let queue = self.balancers[balancer].queue.take();
+                for head in queue.into_iter().flatten() {
+                    self.handle_balancer_packet(balancer, &head);
+                }
                 self.tick_balancer(balancer, incarnation);
             }
             Task::Probe => self.probe_balancers(),
@@ -88,12 +95,28 @@
         if self.now < state.paused_until {
             return;
         }
+        self.observe_host(balancer);
         self.step_balancer(balancer, Event::Tick);
         if self.balancers[balancer].incarnation == incarnation {
             self.schedule(Simulation::tick_period(), Task::Tick(balancer, incarnation));
         }
     }
 
+    /// Tells a balancer what it has used of its host.
+    fn observe_host(&mut self, balancer: usize) {
+        let Some(host) = self.hosts.get_mut(&balancer) else {
+            return;
+        };
+        let period = Simulation::tick_period();
+        let link = host.capacity().link.map_or(0, u64::from);
+        host.bytes += link * period.0 / 1_000_000 * host.background_percent / 100;
+        let sample = forward::host::Sample {
+            bytes: host.bytes,
+            ..forward::host::Sample::default()
+        };
+        self.step_balancer(balancer, Event::HostUse(sample));
+    }
+
     fn probe_balancers(&mut self) {
         for balancer in 0..self.balancers.len() {
             let is_paused = self.now < self.balancers[balancer].paused_until;
@@ -151,6 +174,9 @@
 
     fn handle_balancer_packet(&mut self, balancer: usize, head: &Head) {
         if self.now < self.balancers[balancer].paused_until {
+            if let Some(queue) = &mut self.balancers[balancer].queue {
+                queue.push(*head);
+            }
             return;
         }
         let now = self.now;
@@ -167,6 +193,9 @@
         self.apply_effects(balancer, out);
         match verdict {
             Verdict::Forward { target, token } => {
+                if let Some(host) = self.hosts.get_mut(&balancer) {
+                    host.bytes += u64::from(head.length) + forward::host::gate::OVERHEAD_BYTES;
+                }
                 let mut head = *head;
                 head.token = token.unwrap_or(head.token);
                 self.forward_packet(balancer, target, head);
@@ -240,10 +269,24 @@
                 let Some(there) = self.balancers.get(to).map(|state| state.domain) else {
                     return;
                 };
+                if let wire::frame::Body::HostUse(_) = &frame.body {
+                    let sent = self.host_frames.entry((balancer, to)).or_default();
+                    *sent += 1;
+                    if self.host_frame_loss > 0 && *sent % self.host_frame_loss == 0 {
+                        return;
+                    }
+                }
                 let is_isolated = self.isolated.contains(&balancer) || self.isolated.contains(&to);
                 if is_isolated || self.is_link_blocked(here, there) || self.is_packet_lost() {
                     return;
                 }
+                let is_report = matches!(frame.body, wire::frame::Body::LoadReport(_));
+                if is_report
+                    && self.report_loss > 0
+                    && self.random.random_range(0..10_000) < self.report_loss
+                {
+                    return;
+                }
                 let is_unknown = matches!(
                     frame.body,
                     wire::frame::Body::SnapshotRequest
@@ -278,7 +321,8 @@
                 });
                 let wait = match outcome {
                     CheckOutcome::Answered => Span::millis(4),
-                    CheckOutcome::Accepted | CheckOutcome::Silent => forward::health::CHECK_TIMEOUT,
+                    CheckOutcome::Accepted => forward::health::CHECK_TIMEOUT,
+                    CheckOutcome::Silent => CONNECT_TIMEOUT,
                 };
                 let task = Task::CheckResult {
                     balancer,
@@ -296,7 +340,10 @@
             }
             Effect::Reset(head) => self.send_reset(&head),
             Effect::Exit => self.kill_balancer(balancer, Span::secs(1)),
-            Effect::Withdraw | Effect::Opened { .. } | Effect::Closed { .. } => (),
+            Effect::Withdraw
+            | Effect::Opened { .. }
+            | Effect::Closed { .. }
+            | Effect::Observed { .. } => (),
         }
     }
 
--- a/crates/forward/tests/all/sim/mod.rs
+++ b/crates/forward/tests/all/sim/mod.rs
@@ -22,6 +22,7 @@
 use conf::object::Kind;
 use forward::cold::RateLimit;
 use forward::prelude::*;
+use forward::setting::StartFrom;
 use forward::tick;
 use rand::Rng;
 use rand::SeedableRng;
@@ -30,6 +31,7 @@
 
 pub(crate) use caller::Outcome;
 pub(crate) use caller::Request;
+pub(crate) use link::Links;
 pub(crate) use server::Server;
 pub(crate) use server::Status;
 pub(crate) use store::Store;
@@ -81,6 +83,8 @@
     failed_probes: u32,
     /// Until when the process is paused.
     paused_until: Time,
+    /// The packets that queue meanwhile; `None` if they are lost.
+    pub(crate) queue: Option<Vec<Head>>,
     pub(crate) is_stopping: bool,
 }
 
@@ -97,6 +101,30 @@
     pub(crate) duplicates: usize,
 }
 
+/// The host of a balancer with a link of known capacity.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Host {
+    /// The rate of the link, in Mbit/s.
+    pub(crate) mbps: f64,
+    /// The part of the link that other packets take, in percent.
+    pub(crate) background_percent: u64,
+    /// The bytes that were sent on the link.
+    pub(crate) bytes: u64,
+}
+
+impl Host {
+    pub(crate) fn new(mbps: f64) -> Host {
+        Host {
+            mbps,
+            ..Host::default()
+        }
+    }
+
+    fn capacity(&self) -> forward::host::Capacity {
+        forward::host::Capacity::default().with_link_mbps(self.mbps)
+    }
+}
+
 /// An action that is due at some time.
 ///
 /// Balancers, servers and requests are given by index. A task for another incarnation than the
@@ -183,6 +211,8 @@
     pub(crate) demand_link: DemandLink,
     /// The balancers whose release does not know frames about snapshots.
     pub(crate) old_releases: BTreeSet<usize>,
+    /// Where starting balancers take the platform's objects from.
+    pub(crate) start_from: StartFrom,
     /// The links of the balancers' hosts; `None` if frames take no time to send.
     pub(crate) links: Option<link::Links>,
     /// The domains whose callers start no requests.
@@ -204,9 +234,21 @@
     next_port: u32,
     /// The number of packets and frames lost out of 10,000.
     pub(crate) loss: u32,
+    /// How long servers are cold after a restart.
+    pub(crate) cold_period: Span,
+    /// The rate of the pool's cold servers, in flows per minute.
+    pub(crate) cold_per_minute: u32,
+    /// The number of load reports lost out of 10,000, in addition.
+    pub(crate) report_loss: u32,
     /// The number of objects that balancers sent each other.
     pub(crate) published_objects: usize,
     pub(crate) log: Vec<String>,
+    /// The hosts with a link of known capacity, by balancer. They are set before the balancers start.
+    pub(crate) hosts: BTreeMap<usize, Host>,
+    /// The number of frames about the use of hosts from one balancer to another.
+    pub(crate) host_frames: BTreeMap<(usize, usize), usize>,
+    /// Of this many of these frames one is lost, of each pair; 0 if none is.
+    pub(crate) host_frame_loss: usize,
     /// Whether decisions are logged, for golden files.
     pub(crate) is_logging: bool,
     /// Whether the fabric selects balancers by hash modulo their number, so that nearly all flows
@@ -267,6 +309,7 @@
             surges: BTreeMap::new(),
             demand_link: DemandLink::default(),
             old_releases: BTreeSet::new(),
+            start_from: StartFrom::default(),
             links: None,
             quiet_domains: BTreeSet::new(),
             checks: Vec::new(),
@@ -277,8 +320,14 @@
             idle_flows: BTreeMap::new(),
             next_port: 0,
             loss: 0,
+            cold_period: Span::secs(2),
+            cold_per_minute: 0,
+            report_loss: 0,
             published_objects: 0,
             log: Vec::new(),
+            hosts: BTreeMap::new(),
+            host_frames: BTreeMap::new(),
+            host_frame_loss: 0,
             is_logging: false,
             has_modulo_hashing: false,
             has_remote_fallback: true,
@@ -337,6 +386,7 @@
             is_in_rotation: false,
             failed_probes: 0,
             paused_until: START,
+            queue: None,
             is_stopping: false,
         });
         let wait = Span(self.random.random_range(0..300_000));
@@ -377,10 +427,13 @@
             slack: 5,
         };
         let seeds = (0..SEED_BALANCERS).map(peer_address).collect();
+        let capacity = self.hosts.get(&balancer).map(Host::capacity);
         let setting = Setting::new(state.name.clone(), domain_name(state.domain), peer, address)
             .with_seeds(seeds)
             .with_cold(cold)
-            .with_grace(Span::secs(6));
+            .with_grace(Span::secs(6))
+            .with_capacity(capacity.unwrap_or_default())
+            .with_start_from(self.start_from);
         state.reducer = Some(Forwarder::new(setting, self.now));
         state.incarnation += 1;
         state.is_stopping = false;
--- a/crates/forward/tests/all/sim/store.rs
+++ b/crates/forward/tests/all/sim/store.rs
@@ -52,7 +52,6 @@
 /// A read that a balancer started.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Read {
-    pub(crate) at: Time,
     pub(crate) balancer: usize,
     pub(crate) kind: Kind,
     pub(crate) since: u64,
@@ -107,7 +106,7 @@
         let route = object::Route::new(SERVICE, vec![share]);
         let pool = object::Pool {
             name: POOL.into(),
-            cold_per_minute: 0,
+            cold_per_minute: self.cold_per_minute,
             cold: Span::secs(2),
             check_path: object::DEFAULT_CHECK_PATH.into(),
         };
@@ -273,7 +272,6 @@
     pub(super) fn handle_read(&mut self, balancer: usize, kind: Kind, since: u64, wait: Span) {
         self.store.calls += 1;
         self.store.reads.push(Read {
-            at: self.now,
             balancer,
             kind,
             since,
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -96,6 +96,7 @@
         | Body::Speeds(_)
         | Body::Demand(_)
         | Body::DomainDemand(_)
+        | Body::HostUse(_)
         | Body::SnapshotRequest
         | Body::SnapshotBusy { .. }
         | Body::Snapshot(_) => (),
--- a/crates/shell/src/packets/run.rs
+++ b/crates/shell/src/packets/run.rs
@@ -37,6 +37,7 @@
 use crate::packets::trace;
 use crate::run::Outcome;
 
+mod pace;
 mod send;
 
 /// Interval between ticks of the reducer.
@@ -157,6 +158,8 @@
     Event(Event),
     Query(Query),
     Tick,
+    /// The link has room for packets that wait.
+    Room,
     Terminate,
     Reload,
 }
@@ -174,6 +177,7 @@
     reassembler: Reassembler,
     /// Identifier of the last frame sent, which its fragments carry.
     frame_id: u32,
+    outlet: pace::Outlet,
     /// Fragments of long frames that wait to be sent.
     send_queue: Queue,
     file_modified: Option<SystemTime>,
@@ -201,6 +205,7 @@
             effects: Vec::new(),
             reassembler: Reassembler::default(),
             frame_id: 0,
+            outlet: pace::Outlet::new(shell.setting.forward.capacity.link, now),
             send_queue: Queue::default(),
             file_modified: modified_time(&shell),
             is_serving: false,
@@ -249,12 +254,14 @@
 
     /// Waits for the next input.
     async fn next_wake(&mut self) -> Wake {
+        let now = self.shell.clock.now();
         tokio::select! {
             result = self.shell.entry.recv(), if self.is_serving => Wake::Entry(result),
             result = self.shell.peers.recv() => Wake::Peers(result),
             Some(event) = self.events.recv() => Wake::Event(event),
             Some(query) = self.shell.queries.recv() => Wake::Query(query),
             _ = self.ticks.tick() => Wake::Tick,
+            () = self.outlet.wait(now), if self.outlet.holds() => Wake::Room,
             _ = self.signals.terminate.recv() => Wake::Terminate,
             _ = self.signals.interrupt.recv() => Wake::Terminate,
             _ = self.signals.reload.recv() => Wake::Reload,
@@ -274,6 +281,7 @@
             Wake::Event(event) => self.reducer.step(now, event, &mut self.effects),
             Wake::Query(query) => self.answer_query(query),
             Wake::Tick => self.handle_tick(now),
+            Wake::Room => self.release_held(now),
             Wake::Terminate => self.handle_terminate(now),
             Wake::Reload => self.reload(now),
         }
@@ -295,6 +303,7 @@
                 .metric
                 .count_drops(Code::Unreachable, unsent as u64);
         }
+        self.release_held(now);
     }
 
     fn handle_packet(&mut self, now: Time, index: usize, head: &forward::packet::Head) {
@@ -316,7 +325,8 @@
                 if let Some(token) = token {
                     codec.write_token(entry.datagram(index).data, token);
                 }
-                entry.queue_forward(index, codec.server_header(target.identity), target.address);
+                let header = codec.server_header(target.identity);
+                self.send_forward(now, index, head, header, target.address);
             }
             Verdict::Reset(code) => {
                 metric.count_drops(code, 1);
@@ -324,6 +334,8 @@
                 // Callers receive resets at the port of the entry address.
                 let port = entry.local().port();
                 entry.queue_answer(index, length, SocketAddrV4::new(*head.caller.ip(), port));
+                self.outlet.record(length);
+                self.outlet.remove_flow(head);
             }
             Verdict::Drop(code) => metric.count_drops(code, 1),
         }
@@ -355,6 +367,7 @@
 
     fn handle_tick(&mut self, now: Time) {
         self.tick = self.tick.wrapping_add(1);
+        self.observe_host(now);
         self.reducer.step(now, Event::Tick, &mut self.effects);
         self.send_queued_fragments();
         if self.tick % LOG_FLUSH_TICKS == 0 {
@@ -424,6 +437,7 @@
         forward.peer = old.peer;
         forward.admin = old.admin;
         self.shell.setting.forward = forward.clone();
+        self.set_link_rate(now, forward.capacity.link);
         let event = Event::Setting(Box::new(forward));
         self.reducer.step(now, event, &mut self.effects);
     }
@@ -434,6 +448,7 @@
             Query::Dump(to) => drop(to.send(self.reducer.to_string())),
             Query::Ready(to) => drop(to.send(self.reducer.is_ready())),
             Query::Counts(to) => drop(to.send(reducer_counts(&self.reducer))),
+            Query::Load(to) => drop(to.send(self.reducer.overview().to_json().ok())),
         }
     }
 
@@ -468,6 +483,9 @@
             Effect::Discover => self.tasks.discover(),
             Effect::Reset(head) => self.send_reset(&head),
             Effect::Opened { took } => self.shell.metric.record_opened_flow(took),
+            Effect::Observed { class, observation } => {
+                self.shell.metric.record_observation(class, observation);
+            }
             Effect::Closed { lasted } => self.shell.metric.record_closed_flow(lasted),
             Effect::Note(note) => trace::log_note(now, &note, data, &mut self.log_limit),
             Effect::Exit => self.outcome = Some(Outcome::Stopped),
@@ -484,6 +502,7 @@
     let own = reducer.counts().iter();
     let flows = [("flows", reducer.flows() as u64)];
     own.chain(flows)
+        .chain(pace::host_values(reducer))
         .map(|(name, value)| Count::new(name, value))
         .collect()
 }
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -155,6 +155,16 @@
                     }
                 }
             }
+            Kind::Slow => {
+                self.load_servers(index, duration, |server, end| server.slow_until = end)
+                    .await
+            }
+            Kind::Full => {
+                self.load_servers(index, duration, |server, end| server.full_until = end)
+                    .await
+            }
+            Kind::Crowd => self.run_crowd().await,
+            Kind::Link => self.fill_link(index, duration).await,
         }
     }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -16,7 +16,8 @@
 use crate::address::Addresses;
 use crate::address::BALANCERS;
 use crate::address::DOMAINS;
-use crate::caller;
+use crate::caller::request;
+use crate::caller::request::Pattern;
 use crate::caller::Endpoint;
 use crate::checker::Breach;
 use crate::checker::Promise;
@@ -32,10 +33,12 @@
 
 /// Number of callers in each failure domain.
 const CALLERS_PER_DOMAIN: u64 = 12;
+/// Number of callers in each failure domain that a crowd adds, for 3.5 times as many in all.
+const CROWD_PER_DOMAIN: u64 = CALLERS_PER_DOMAIN * 5 / 2;
 /// One of this many callers uses long flows, which stay open for many requests.
 const LONG_FLOW_EVERY: u64 = 3;
 /// Least share of requests that is served after the recovery time, in percent.
-const SERVED_MIN_PERCENT: usize = 95;
+pub const SERVED_MIN_PERCENT: usize = 95;
 /// Time after the last fault before requests count for that share.
 const RECOVERY_TIME: Span = Span::secs(6);
 /// Longest time until all balancers are in rotation at the start.
@@ -48,6 +51,8 @@
     pub seed: u64,
     /// Time within which faults start.
     pub span: Span,
+    /// Whether the loads of the seed are added to its faults.
+    pub has_loads: bool,
     /// The addresses to use; concurrent runs need different ones.
     pub addresses: Addresses,
     /// Path of the balancer's executable.
@@ -77,6 +82,10 @@
     pub memory: u64,
     /// Number of lines that the balancers logged.
     pub lines: u64,
+    /// Longest time from an opening packet to its refusal by a settled balancer, in milliseconds.
+    pub refusal_ms: Option<u64>,
+    /// What callers met during loads.
+    pub loads: Vec<String>,
     /// Promises that were broken.
     pub breaches: Vec<Breach>,
 }
@@ -88,10 +97,14 @@
 /// Fails if the run cannot be set up, a fault cannot be injected, or a log cannot be read.
 pub async fn execute(config: Config) -> Result<Report> {
     let world = World::new(config.addresses, config.seed);
+    world.with(|state, _| state.has_loads = config.has_loads);
     let injector = set_up(&world, &config).await?;
     let start = Instant::now();
     let mut tasks = JoinSet::new();
-    let faults = plan::draw(config.seed, config.span);
+    let mut faults = plan::draw(config.seed, config.span);
+    if config.has_loads {
+        faults.extend(plan::draw_loads(config.seed, config.span));
+    }
     for (number, &fault) in (0..).zip(&faults) {
         let injector = injector.clone();
         let at = start + Duration::from_micros(fault.at.0);
@@ -139,6 +152,8 @@
             calm,
             memory,
             lines,
+            refusal_ms: state.slowest_refusal.map(Span::as_millis),
+            loads: state.load_results.clone(),
             breaches: state.breaches.clone(),
         }
     }))
@@ -178,12 +193,17 @@
     }
     for domain in 0..DOMAINS {
         let endpoint = Endpoint::bind(world.clone(), domain).await?;
-        for number in 0..CALLERS_PER_DOMAIN {
-            let id = domain as u64 * CALLERS_PER_DOMAIN + number;
-            let is_long = number % LONG_FLOW_EVERY == 0;
-            tokio::spawn(caller::run(endpoint.clone(), id, is_long));
+        let callers = CALLERS_PER_DOMAIN + CROWD_PER_DOMAIN;
+        for number in 0..callers {
+            let id = domain as u64 * callers + number;
+            let pattern = match number {
+                CALLERS_PER_DOMAIN.. => Pattern::Crowd,
+                _ if number % LONG_FLOW_EVERY == 0 => Pattern::Long,
+                _ => Pattern::Short,
+            };
+            tokio::spawn(request::run(endpoint.clone(), id, pattern));
         }
-        tokio::spawn(caller::probe_routes(endpoint));
+        tokio::spawn(request::probe_routes(endpoint));
     }
     Ok(injector)
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -105,6 +105,9 @@
     Demand(Vec<PoolDemand>),
     /// Demand and occupancy of a failure domain, to the balancers of the other ones.
     DomainDemand(DomainDemand),
+    /// Use of the sender's host, to the balancers of its failure domain. It replaces the sender's
+    /// earlier frame.
+    HostUse(HostUse),
     /// Requests a snapshot of all objects, for a balancer that has none.
     SnapshotRequest,
     /// Answers a request for a snapshot that is not served now.
@@ -118,6 +121,15 @@
     Snapshot(Snapshot),
 }
 
+/// Use of a host whose link or processor is short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostUse {
+    /// The greater use of link and processor in percent, 255 at most.
+    pub percent: u8,
+    /// Whether the host reports not ready, so that the fabric gives its flows to others.
+    pub is_withdrawn: bool,
+}
+
 /// All objects of all kinds, as known to the sender.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
@@ -171,6 +183,11 @@
     pub silent_checks: u8,
     /// Time since the first of the silent checks began, in milliseconds; 0 if there is none.
     pub silent_ms: u16,
+    /// Number of retransmissions of data on its open flows since its last answer, at most 2. With 2
+    /// of them and two silent checks, its open flows are reset.
+    pub resent: u8,
+    /// Time since the first of these arrived, in milliseconds; 0 if there is none.
+    pub resent_ms: u16,
 }
 
 /// The service time of one backend server, from the answers that the sender has seen.
--- a/crates/wire/tests/common/mod.rs
+++ b/crates/wire/tests/common/mod.rs
@@ -17,10 +17,12 @@
 use wire::frame::Frame;
 use wire::frame::Gossip;
 use wire::frame::Handover;
+use wire::frame::HostUse;
 use wire::frame::Ownership;
 use wire::frame::Record;
 use wire::frame::RecordKey;
 use wire::frame::Relay;
+use wire::frame::Snapshot;
 use wire::frame::Speed;
 use wire::frame::Update;
 
@@ -197,6 +199,15 @@
     })
 }
 
+fn host_use() -> impl Strategy<Value = Body> {
+    (any::<u8>(), any::<bool>()).prop_map(|(percent, is_withdrawn)| {
+        Body::HostUse(HostUse {
+            percent,
+            is_withdrawn,
+        })
+    })
+}
+
 /// Generates frames of the kinds that carry data of callers or peers.
 pub(crate) fn frame() -> impl Strategy<Value = Frame> {
     let gossip =
@@ -210,10 +221,17 @@
     let body = prop_oneof![
         relay().prop_map(Body::Relay),
         prop::collection::vec(speed(), 0..80).prop_map(Body::Speeds),
+        prop::collection::vec(any::<u8>(), 0..80).prop_map(|objects| {
+            Body::Snapshot(Snapshot {
+                kinds: Vec::new(),
+                objects: objects.into(),
+            })
+        }),
         handover().prop_map(Body::Handover),
         gossip.prop_map(|gossip| Body::Ping { seq: 1, gossip }),
         demand(),
         summary(),
+        host_use(),
         prop::collection::vec(data(100), 0..8).prop_map(|objects| Body::Delta {
             since: 1,
             upto: 2,
