shell: a bound on evacuations that no change can meet is no fault

Cause: an operator's bound under 2,000 ms ended the process at its start. Change: open flows are cut at once then.

--- a/crates/shell/src/packets/setting.rs
+++ b/crates/shell/src/packets/setting.rs
@@ -179,11 +179,12 @@
         let out_within = given(raw.out_within_ms);
         let delay = CHANGE_DELAY_MAX.as_millis();
         let default = out_after + delay;
-        let range = delay..=TIME_MS_MAX + delay;
+        let range = 0..=TIME_MS_MAX + delay;
         let out_within = checker.check_number("out-within-ms", out_within, default, range);
         let out_after = match has_out_after {
             true => out_after,
-            false => out_within - delay,
+            // A bound that no change can meet is met as far as possible: flows are cut at once.
+            false => out_within.saturating_sub(delay),
         };
         let grace = forward::setting::GRACE.as_millis();
         let grace = checker.check_number("grace-ms", raw.grace_ms, grace, 1..=TIME_MS_MAX);
