review: the stand-in fills the new placeholders of the settings template

Cause: the template names the link, the processor quota and the bound of an evacuation; the stand-in left them as they are, and no balancer started.

--- a/review/stand_in.rs
+++ b/review/stand_in.rs
@@ -1280,6 +1280,9 @@
                     ("{{bounds.warmupOverage}}", "1.5".to_string()),
                     ("{{bounds.warmupSlack}}", "5".to_string()),
                     ("{{bounds.graceS}}", "6".to_string()),
+                    ("{{bounds.evacuateMs}}", "5000".to_string()),
+                    ("{{limits.bandwidthMbps}}", "1000.0".to_string()),
+                    ("{{limits.cpuQuota}}", "0.25".to_string()),
                 ];
                 let text = values.iter().fold(template.clone(), |text, (key, value)| {
                     text.replace(key, value)
