One piece of code for each of four twins, and less work in each tick

Cause: read again, the change had written some things twice: the check of the length prefix before decompression (wire::column, shell::packets::fragment), the rank in a failure domain (role, startup), the choice of the balancers that may own cold servers (is_cold_owner, observe_owners), and a second impl of Checker. An opening packet looked its route up twice, and the peers of the domain were collected in each tick although no host was short. Change: wire::compress, role::rank, eligible_owners, one impl; the class at hand is used, and readiness is updated only while some host is short or was. Some comments use plainer words. Decisions are the same.

--- a/crates/forward/src/cold.rs
+++ b/crates/forward/src/cold.rs
@@ -65,7 +65,7 @@
 
     /// Records the balancers that may own the servers of a failure domain, and when the oldest
     /// process of them started. `is_alone` says whether this balancer knows no other one: until it
-    /// does, it cannot tell a joint start.
+    /// does, it cannot recognize a joint start.
     pub fn observe(
         &mut self,
         now: Time,
--- a/crates/forward/src/established.rs
+++ b/crates/forward/src/established.rs
@@ -49,7 +49,11 @@
         return reset_flow(state, id, server, out);
     }
     state.counts.add(Kind::Passed);
-    state.record_host_packet(head);
+    if state.host.is_known() {
+        if let Some(class) = state.host_class(head.service) {
+            state.record_host_packet(class, head.length);
+        }
+    }
     let forward = Verdict::Forward {
         target,
         token: None,
--- a/crates/forward/src/host/readiness.rs
+++ b/crates/forward/src/host/readiness.rs
@@ -102,6 +102,14 @@
             .count()
     }
 
+    /// Returns whether an update would change and announce nothing: neither this host nor, as far as is
+    /// known, another one is short. `percent` is as for `update`.
+    pub fn is_idle(&self, percent: Option<u32>) -> bool {
+        let is_over = percent.is_some_and(|percent| percent > TARGET_PERCENT);
+        let has_state = self.over_since.is_some() || self.is_withdrawn();
+        !is_over && !has_state && self.peers.is_empty()
+    }
+
     /// Updates the readiness. `percent` is the greater use of link and processor; `None` if neither
     /// is known.
     pub fn update(&mut self, view: &View<'_>, percent: Option<u32>) -> Outcome {
--- a/crates/forward/src/opening.rs
+++ b/crates/forward/src/opening.rs
@@ -65,7 +65,7 @@
     if state.host.is_known() && !admit_to_host(state, id, class, out) {
         return Verdict::Reset(Code::HostFull);
     }
-    state.record_host_packet(head);
+    state.record_host_packet(class, head.length);
     if let Some(pool) = pool {
         if head.ack == 0 {
             state.demands.record_opening(state.now, pool, priority);
--- a/crates/forward/src/owner.rs
+++ b/crates/forward/src/owner.rs
@@ -2,6 +2,8 @@
 
 use base::prelude::*;
 use conf::key;
+use member::Group;
+use member::Member;
 
 use crate::cold;
 use crate::state::Forwarder;
@@ -12,18 +14,9 @@
     /// all live balancers if that domain has none.
     pub(crate) fn is_cold_owner(&self, server: key::Server) -> bool {
         let row = self.table.server(server);
-        let domain = &self.table.domain(row.domain).name;
-        // `owners_in` leaves out balancers that joined a short while ago or are flapping, so that
-        // ownership does not move back and forth. The fallback takes every balancer of any domain
-        // that may still be running, so that there is an owner.
-        let mut own = self.group.owners_in(domain).peekable();
-        let first = match own.peek() {
-            Some(_) => rendezvous_owner(row.identity, own),
-            None => {
-                let live = self.group.members().filter(|member| member.state.is_live());
-                rendezvous_owner(row.identity, live)
-            }
-        };
+        let owners = eligible_owners(&self.group, &self.table.domain(row.domain).name);
+        let incarnations = owners.map(|member| member.incarnation.0);
+        let first = route::rendezvous::highest(row.identity, incarnations).map(Incarnation);
         first == Some(self.incarnation())
     }
 
@@ -39,24 +32,15 @@
     pub(crate) fn observe_owners(&mut self) {
         let now = self.now;
         self.owners.start_observation(now);
-        let live = self.group.members().filter(|member| member.state.is_live());
-        let is_alone = live.count() <= 1;
+        let is_alone = live_members(&self.group).nth(1).is_none();
         for domain in self.table.domains() {
             let name = &domain.name;
-            let live = || {
-                let live = self.group.members().filter(|member| member.state.is_live());
-                live.map(|member| member.incarnation)
-            };
-            let eligible = self.group.owners_in(name).map(|member| member.incarnation);
-            let mut eligible = eligible.peekable();
-            let local = self.group.alive_in(name).map(|member| member.incarnation);
-            // Incarnations are sorted by their start.
-            let oldest = local.min().or_else(|| live().min());
-            let oldest = oldest.map_or(now, Incarnation::start_time);
-            match eligible.peek() {
-                Some(_) => self.owners.observe(now, name, eligible, oldest, is_alone),
-                None => self.owners.observe(now, name, live(), oldest, is_alone),
-            }
+            let owners = eligible_owners(&self.group, name).map(|member| member.incarnation);
+            // Incarnations are ordered by their start, and members by their incarnation.
+            let oldest = self.group.alive_in(name).next();
+            let oldest = oldest.or_else(|| live_members(&self.group).next());
+            let oldest = oldest.map_or(now, |member| member.incarnation.start_time());
+            self.owners.observe(now, name, owners, oldest, is_alone);
         }
         let changes: Vec<(key::Server, cold::Tenure)> = self
             .table
@@ -82,8 +66,7 @@
     /// server, by rendezvous hash. 0 is the checker.
     pub(crate) fn checker_rank(&self, server: key::Server) -> u64 {
         let identity = self.table.server(server).identity;
-        let score =
-            |member: &member::Member| route::rendezvous::score(identity, member.incarnation.0);
+        let score = |member: &Member| route::rendezvous::score(identity, member.incarnation.0);
         let own = score(self.group.local());
         // Membership alone decides here, without the hold time of owners: several balancers may
         // check a server at the same time.
@@ -92,10 +75,15 @@
     }
 }
 
-fn rendezvous_owner<'a>(
-    identity: u64,
-    members: impl Iterator<Item = &'a member::Member>,
-) -> Option<Incarnation> {
-    let first = route::rendezvous::highest(identity, members.map(|member| member.incarnation.0));
-    first.map(Incarnation)
+/// Returns the balancers that may own the cold servers of a failure domain: its own ones, or all live
+/// balancers if it has none, so that there is an owner. `owners_in` leaves out balancers that joined a
+/// short while ago or are flapping, so that ownership does not move back and forth.
+fn eligible_owners<'a>(group: &'a Group, domain: &'a str) -> impl Iterator<Item = &'a Member> {
+    let mut own = group.owners_in(domain).peekable();
+    let others = own.peek().is_none().then(|| live_members(group));
+    own.chain(others.into_iter().flatten())
+}
+
+fn live_members(group: &Group) -> impl Iterator<Item = &Member> {
+    group.members().filter(|member| member.state.is_live())
 }
--- a/crates/forward/src/report.rs
+++ b/crates/forward/src/report.rs
@@ -217,7 +217,9 @@
 
 /// Reports the host as not ready, or as ready again, and announces its use to the failure domain.
 pub(crate) fn review_host(state: &mut Forwarder, out: &mut Vec<Effect>) {
-    if !state.host.is_known() {
+    let usage = state.host.usage();
+    let is_idle = state.host.readiness().is_idle(usage.greatest());
+    if !state.host.is_known() || is_idle {
         return;
     }
     let now = state.now;
@@ -230,7 +232,6 @@
         me: state.incarnation(),
         peers: &peers,
     };
-    let usage = state.host.usage();
     let readiness = state.host.readiness_mut();
     let outcome = readiness.update(&view, usage.greatest());
     let peers_above = readiness.peers_above(now);
--- a/crates/forward/src/role.rs
+++ b/crates/forward/src/role.rs
@@ -73,10 +73,7 @@
         Role {
             tier,
             watermark_period: Span(WATERMARK_PERIOD_MIN.0 + WATERMARK_PERIOD_PER_PEER.0 * largest),
-            rank: group
-                .alive_in(&me.domain)
-                .take_while(|member| member.incarnation < me.incarnation)
-                .count() as u64,
+            rank: rank(group),
         }
     }
 
@@ -87,6 +84,15 @@
     }
 }
 
+/// Returns the number of live balancers of the local one's failure domain with a lower incarnation.
+pub fn rank(group: &Group) -> u64 {
+    let me = group.local();
+    // Members are ordered by incarnation.
+    let local = group.alive_in(&me.domain);
+    let lower = local.take_while(|member| member.incarnation < me.incarnation);
+    lower.count() as u64
+}
+
 impl Default for Role {
     /// Returns the role of a balancer without peers.
     fn default() -> Role {
--- a/crates/forward/src/shortage.rs
+++ b/crates/forward/src/shortage.rs
@@ -13,7 +13,7 @@
 
 /// How long a shortage is remembered. Operators look at the page within a minute of an alarm.
 pub const RETENTION: Span = Span::secs(60);
-/// The number of priorities that are told apart. A greater one counts as the last.
+/// The number of priorities that are counted separately. A greater one counts as the last.
 pub const PRIORITIES: usize = 4;
 /// Bounds the number of tracked pools. Each takes 2 KB.
 pub const POOLS_MAX: usize = 256;
--- a/crates/forward/src/speed.rs
+++ b/crates/forward/src/speed.rs
@@ -64,7 +64,7 @@
 /// The service time that is assumed before any answer. Its multiple for a full queue is
 /// `ANSWER_TIMEOUT_MIN`.
 pub const SERVICE_TIME_DEFAULT: Span = Span::millis(50);
-/// The shortest service time that is told apart from others. What is left of an answer's time without
+/// The shortest service time that is distinguished from others. What is left of an answer's time without
 /// the latency of links varies by a few milliseconds, and callers do not notice less.
 pub const SERVICE_TIME_MIN: Span = Span::millis(5);
 /// The factor of an unchanged speed (`Speeds::slowdown`), in thousandths.
--- a/crates/forward/src/startup.rs
+++ b/crates/forward/src/startup.rs
@@ -15,6 +15,7 @@
 use member::Member;
 
 use crate::feed;
+use crate::role;
 
 pub mod serve;
 
@@ -114,7 +115,7 @@
     /// `seeds` are the addresses at which balancers announce themselves. They know best which
     /// balancers there are.
     pub fn step(&mut self, now: Time, group: &Group, seeds: &[SocketAddr]) -> Step {
-        let rank = rank(group);
+        let rank = role::rank(group);
         let is_due = now.since(self.answered_until) >= read_delay(rank, self.is_answered);
         // A peer that became known a moment ago may still answer.
         let is_alone = group.members().nth(1).is_none();
@@ -279,12 +280,3 @@
     }
     Span(READ_DELAY.0 + READ_DELAY_PER_RANK.0 * rank).min(READ_DELAY_MAX)
 }
-
-/// Returns the number of live balancers of the own failure domain with a lower incarnation.
-fn rank(group: &Group) -> u64 {
-    let me = group.local();
-    let lower = group.alive_in(&me.domain);
-    lower
-        .filter(|member| member.incarnation < me.incarnation)
-        .count() as u64
-}
--- a/crates/forward/src/startup/serve.rs
+++ b/crates/forward/src/startup/serve.rs
@@ -1,6 +1,6 @@
 //! Serving of snapshots: whom to send one, and what to answer the others.
 //!
-//! Two balancers are sent a snapshot at a time. The others are told when to ask again, and whom:
+//! Two balancers are sent a snapshot at a time. The answer to others says when to ask again, and whom:
 //! this balancer or one of those that are being sent one. So snapshots spread like a tree, and each
 //! of its balancers serves a few others.
 
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -344,13 +344,10 @@
         class.map_or(Rank::FIRST, |class| Rank::new(head, class))
     }
 
-    /// Records a forwarded packet as use of the host.
-    pub(crate) fn record_host_packet(&mut self, head: &Head) {
-        if !self.host.is_known() {
-            return;
-        }
-        if let Some(class) = self.host_class(head.service) {
-            self.host.gate_mut().record_packet(class, head.length);
+    /// Records a forwarded packet, with the length of its data in bytes, as use of the host.
+    pub(crate) fn record_host_packet(&mut self, class: host::Class, length: u16) {
+        if self.host.is_known() {
+            self.host.gate_mut().record_packet(class, length);
         }
     }
 
--- a/crates/forward/src/transfer.rs
+++ b/crates/forward/src/transfer.rs
@@ -82,7 +82,7 @@
 
 /// Answers a request while there is no snapshot here. A seed names the balancer of the sender's
 /// failure domain that reads the platform, which may be the sender. Others name the first balancer
-/// of the domain, and tell their own domain if they are reading the platform.
+/// of the domain, and answer their own domain with a time if they are reading the platform.
 fn refer(
     state: &mut Forwarder,
     from: Incarnation,
--- a/crates/shell/src/packets/fragment.rs
+++ b/crates/shell/src/packets/fragment.rs
@@ -9,6 +9,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
+use wire::compress;
 use wire::frame::Body;
 use wire::frame::Fragment;
 use wire::frame::Frame;
@@ -22,8 +23,6 @@
 pub const FRAGMENTS_MAX: usize = 512;
 /// Longest frame before compression, in bytes.
 const FRAME_BYTES_MAX: usize = FRAGMENTS_MAX * FRAGMENT_BYTES_MAX * 4;
-/// Bytes of the prefix of a compressed frame, which holds its uncompressed length.
-const LENGTH_PREFIX_BYTES: usize = 4;
 /// Most fragments that are queued for sending.
 pub const QUEUE_FRAGMENTS_MAX: usize = 2_048;
 /// Most senders for which an incomplete frame is kept.
@@ -44,7 +43,7 @@
     if encoded.len() > FRAME_BYTES_MAX {
         return Vec::new();
     }
-    let compressed = lz4_flex::compress_prepend_size(&encoded);
+    let compressed = compress::compress(&encoded);
     let count = compressed.len().div_ceil(FRAGMENT_BYTES_MAX);
     if count > FRAGMENTS_MAX {
         return Vec::new();
@@ -127,7 +126,7 @@
         let complete = self.incomplete.remove(&from);
         let fragments = complete.into_iter().flat_map(|complete| complete.fragments);
         let bytes: Vec<u8> = fragments.flatten().flatten().collect();
-        seal::decode(&decompress(&bytes)?).map(Some)
+        seal::decode(&compress::decompress(&bytes, FRAME_BYTES_MAX)?).map(Some)
     }
 
     /// Starts the reassembly of a frame unless it has started. Replaces an earlier frame of the
@@ -151,16 +150,3 @@
         self.incomplete.insert(from, incomplete);
     }
 }
-
-/// Decompresses a frame. The length prefix is checked first, so that a forged one cannot cause a
-/// large allocation.
-fn decompress(bytes: &[u8]) -> Result<Vec<u8>, Code> {
-    let (length, _) = bytes
-        .split_at_checked(LENGTH_PREFIX_BYTES)
-        .ok_or(Code::Malformed)?;
-    let length = u32::from_le_bytes(length.try_into().expect("the length prefix has four bytes"));
-    if length as usize > FRAME_BYTES_MAX {
-        return Err(Code::Malformed);
-    }
-    lz4_flex::decompress_size_prepended(bytes).map_err(|_| Code::Malformed)
-}
--- a/crates/shell/src/packets/run/pace.rs
+++ b/crates/shell/src/packets/run/pace.rs
@@ -144,7 +144,7 @@
         self.release_held(now);
     }
 
-    /// Tells the reducer what the process has used of its host, if the host's capacity is known.
+    /// Passes to the reducer what the process has used of its host, if the host's capacity is known.
     pub(super) fn observe_host(&mut self, now: Time) {
         if self.reducer.host().is_known() {
             let quota = self.shell.setting.forward.capacity.processor;
--- a/crates/shell/src/packets/setting.rs
+++ b/crates/shell/src/packets/setting.rs
@@ -247,15 +247,7 @@
         }
         capacity
     }
-}
-
-/// Parses an IP address with or without a port, which is ignored.
-pub(crate) fn parse_host(text: &str) -> Option<IpAddr> {
-    let with_port = text.parse::<SocketAddr>().map(|address| address.ip());
-    with_port.or_else(|_| text.parse()).ok()
-}
 
-impl Checker {
     fn check_start_from(&mut self, flag: &'static str, value: Option<String>) -> StartFrom {
         let Some(text) = value else {
             return StartFrom::default();
@@ -266,3 +258,9 @@
         })
     }
 }
+
+/// Parses an IP address with or without a port, which is ignored.
+pub(crate) fn parse_host(text: &str) -> Option<IpAddr> {
+    let with_port = text.parse::<SocketAddr>().map(|address| address.ip());
+    with_port.or_else(|_| text.parse()).ok()
+}
--- a/crates/wire/src/column.rs
+++ b/crates/wire/src/column.rs
@@ -3,8 +3,8 @@
 //! Each text is split into a template and its values: decimal numbers, hexadecimal numbers and
 //! words. The values of texts with the same template are stored by position, so that equal or
 //! slowly growing ones compress to little. 3,000 objects of servers take a quarter of the bytes
-//! that general compression alone leaves (49 of 201 KB), which decides how fast a host with a slow link can pass them
-//! on.
+//! that general compression alone leaves (49 of 201 KB), which decides how fast a host with a slow
+//! link can pass them on.
 
 use std::collections::BTreeMap;
 
@@ -12,13 +12,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::compress;
+
 /// Longest encoded form before compression, in bytes. Bounds the memory that a forged length can
 /// claim.
 const PLAIN_BYTES_MAX: usize = 4 << 20;
 /// Most bytes of all texts together. Bounds what forged references to long words can claim.
 const TEXT_BYTES_MAX: usize = 16 << 20;
-/// Length of the prefix that holds the length before compression.
-const LENGTH_PREFIX_BYTES: usize = 4;
 /// Fewest digits of a hexadecimal number: shorter ones are as cheap as words.
 const HEX_DIGITS_MIN: usize = 8;
 /// Placeholder of a decimal number in a template.
@@ -82,7 +82,7 @@
     });
     plain.groups = groups.collect();
     let plain = postcard::to_stdvec(&plain).expect("postcard can encode all types of a snapshot");
-    (plain.len() <= PLAIN_BYTES_MAX).then(|| lz4_flex::compress_prepend_size(&plain))
+    (plain.len() <= PLAIN_BYTES_MAX).then(|| compress::compress(&plain))
 }
 
 /// Splits a text into its template and values.
@@ -149,14 +149,7 @@
 ///
 /// `Malformed` if the bytes are not encoded texts, or exceed the limits.
 pub fn decode(bytes: &[u8]) -> Result<Vec<String>, Code> {
-    let (length, _) = bytes
-        .split_at_checked(LENGTH_PREFIX_BYTES)
-        .ok_or(Code::Malformed)?;
-    let length = u32::from_le_bytes(length.try_into().expect("the length prefix has four bytes"));
-    if length as usize > PLAIN_BYTES_MAX {
-        return Err(Code::Malformed);
-    }
-    let plain = lz4_flex::decompress_size_prepended(bytes).map_err(|_| Code::Malformed)?;
+    let plain = compress::decompress(bytes, PLAIN_BYTES_MAX)?;
     let plain: Plain = postcard::from_bytes(&plain).map_err(|_| Code::Malformed)?;
     let words: Vec<&str> = plain.words.split(SEPARATOR).collect();
     let (mut texts, mut budget) = (Vec::new(), TEXT_BYTES_MAX);
