--- a/review/common-2/world.rs
+++ b/review/common-2/world.rs
@@ -1102,8 +1102,7 @@
         let Some(child) = self.child.as_mut() else {
             return;
         };
-        let command = format!("kill -TERM {}", child.id());
-        let _ = Command::new("sh").args(["-c", &command]).status();
+        send_signal(child.id(), "TERM");
         let end = Instant::now() + grace;
         while Instant::now() < end && matches!(child.try_wait(), Ok(None)) {
             thread::sleep(ms(10));
@@ -1111,6 +1110,13 @@
         self.kill();
     }
 
+    /// Sends the process a signal.
+    pub fn signal(&self, name: &str) {
+        if let Some(child) = &self.child {
+            send_signal(child.id(), name);
+        }
+    }
+
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
@@ -1156,6 +1162,7 @@
     pub entry_port: u16,
     callers: Arc<AtomicU64>,
     folder: PathBuf,
+    seeds: String,
 }
 
 /// The first of ten ports that are free on all loopback addresses that a run uses.
@@ -1173,6 +1180,11 @@
 /// The processes that were started, for the end of a run that takes too long.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+fn send_signal(id: u32, name: &str) {
+    let command = format!("kill -{name} {id}");
+    let _ = Command::new("sh").args(["-c", &command]).status();
+}
+
 /// Ends the run, and all of its processes, after `RUN_MAX`.
 fn limit_run() {
     thread::spawn(|| {
@@ -1196,7 +1208,6 @@
         let entry_port = base;
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a temporary folder");
-        let template = std::fs::read_to_string("deploy/settings.env").expect("the template");
         let mut balancers = Vec::new();
         for (z, &(zone, count)) in zones.iter().enumerate() {
             for n in 0..count {
@@ -1226,6 +1237,31 @@
             .map(|b| format!("{}:{}", b.peer.ip(), base + 9))
             .collect();
         for balancer in &balancers {
+            store.serve(balancer.platform, balancer.cut.clone());
+        }
+        let hub = Hub::default();
+        let ports: Vec<_> = balancers.iter().map(|b| (b.peer, b.bind)).collect();
+        hub.start(&ports);
+        let world = World {
+            record,
+            store,
+            log: Log::default(),
+            hub,
+            balancers,
+            servers: Vec::new(),
+            entry_port,
+            callers: Arc::new(AtomicU64::new(0)),
+            folder,
+            seeds: seeds.join(","),
+        };
+        world.write_settings("6");
+        world
+    }
+
+    /// Fills in the template of the settings, as the platform does, with this value of `graceS`.
+    pub fn write_settings(&self, grace_s: &str) {
+        let template = std::fs::read_to_string("deploy/settings.env").expect("the template");
+        for balancer in &self.balancers {
             let values = [
                 ("nodeName", balancer.name.clone()),
                 ("zone", balancer.zone.clone()),
@@ -1234,11 +1270,11 @@
                 ("internalPortRange.0", balancer.peer.port().to_string()),
                 ("listen.readiness", balancer.admin.to_string()),
                 ("platform.address", balancer.platform.to_string()),
-                ("seeds", seeds.join(",")),
+                ("seeds", self.seeds.clone()),
                 ("bounds.warmupOverage", "1.5".into()),
                 ("bounds.warmupSlack", "5".into()),
                 ("bounds.evacuateMs", "5000".into()),
-                ("bounds.graceS", "6".into()),
+                ("bounds.graceS", grace_s.into()),
                 ("limits.bandwidthMbps", "1000".into()),
                 ("limits.cpuQuota", "0.25".into()),
             ];
@@ -1249,21 +1285,6 @@
             // The links between balancers pass through the hub.
             let _ = writeln!(text, "WASABI_PEER_BIND={}", balancer.bind);
             std::fs::write(&balancer.settings, text).unwrap();
-            store.serve(balancer.platform, balancer.cut.clone());
-        }
-        let hub = Hub::default();
-        let ports: Vec<_> = balancers.iter().map(|b| (b.peer, b.bind)).collect();
-        hub.start(&ports);
-        World {
-            record,
-            store,
-            log: Log::default(),
-            hub,
-            balancers,
-            servers: Vec::new(),
-            entry_port,
-            callers: Arc::new(AtomicU64::new(0)),
-            folder,
         }
     }
 
@@ -1522,3 +1543,76 @@
     }
     attempts
 }
+
+impl World {
+    /// Records what cold servers got, and returns the most requests that one of them got within a
+    /// second. Counted are flows whose opening packet was sent and taken inside that second.
+    pub fn report_cold(
+        &self,
+        attempts: &Attempts,
+        cold_from: &[(String, f64)],
+        cold_ms: u64,
+        limit: f64,
+    ) -> usize {
+        let attempts = attempts.lock().unwrap();
+        let served = attempts
+            .iter()
+            .filter(|a| matches!(a.end, End::Served(_)))
+            .count();
+        self.record.say(format!(
+            "{served} of {} attempts are served",
+            attempts.len()
+        ));
+        let sent: HashMap<SocketAddrV4, &Attempt> =
+            attempts.iter().map(|a| (a.caller, a)).collect();
+        let seen = self.seen();
+        let mut worst = 0;
+        for (server, from) in cold_from {
+            let to = from + cold_ms as f64;
+            let mut taken = HashMap::new();
+            for s in seen
+                .iter()
+                .filter(|s| &s.server == server && s.what.starts_with("took"))
+            {
+                if s.at >= *from && s.at < to {
+                    taken.entry(s.caller).or_insert((s.at, s.id.clone()));
+                }
+            }
+            // Arrival, sending and machine of each request.
+            let mut times: Vec<(f64, f64, SocketAddrV4)> = Vec::new();
+            for (caller, (at, copy)) in &taken {
+                let copy: usize = copy.trim_start_matches("copy ").parse().unwrap_or(0);
+                if let Some(attempt) = sent.get(caller) {
+                    times.extend(
+                        attempt
+                            .openings
+                            .get(copy)
+                            .map(|sent| (*at, *sent, attempt.via)),
+                    );
+                }
+            }
+            let inside = |start: f64| -> Vec<SocketAddrV4> {
+                let inside = times
+                    .iter()
+                    .filter(|&&(at, sent, _)| sent >= start && at < start + 1_000.0);
+                inside.map(|&(_, _, via)| via).collect()
+            };
+            let starts = times.iter().map(|&(_, sent, _)| inside(sent));
+            let most = starts.max_by_key(Vec::len).unwrap_or_default();
+            let mut by_machine: BTreeMap<&str, usize> = BTreeMap::new();
+            for via in &most {
+                let balancer = self.balancers.iter().find(|b| b.entry == *via);
+                *by_machine
+                    .entry(balancer.map_or("", |b| &b.name))
+                    .or_default() += 1;
+            }
+            self.record.say(format!(
+                "cold server {server}: {} requests while cold, {} in its worst second, through {by_machine:?}; limit {limit}",
+                times.len(),
+                most.len()
+            ));
+            worst = worst.max(most.len());
+        }
+        worst
+    }
+}
