--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -16,8 +16,8 @@
 use world::End;
 use world::Router;
 use world::World;
+use world::ZONES;
 
-const ZONES: [&str; 3] = ["mazowsze-a", "mazowsze-b", "mazowsze-c"];
 /// The ends of a machine's processes by themselves that the rule allows are fewer than this.
 const ENDS: usize = 3;
 /// The machines on which that many make a fault: a tenth of those in use, two at least.
@@ -28,21 +28,8 @@
 fn main() {
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let path = std::env::args().nth(1).expect("the path of the record");
-    let mut world = World::new(&path, &[(ZONES[0], 4), (ZONES[1], 3), (ZONES[2], 2)]);
-    let mut id = 0x7f3a_0000u32;
-    for (zone, rounds, sheets) in [(ZONES[0], 5, 2), (ZONES[1], 5, 1), (ZONES[2], 4, 1)] {
-        for (service, count, work) in [("rounds", rounds, 30), ("route-sheets", sheets, 5)] {
-            for _ in 0..count {
-                id += 0x1_2f37;
-                world.add_server(&format!("i-{id:08x}"), service, zone, ms(work));
-            }
-        }
-    }
-    let routes = [
-        ("stops", 1, "rounds", "idempotent"),
-        ("sheets", 2, "route-sheets", "download"),
-    ];
-    world.write_config(7, &routes, 2.0);
+    let mut world = World::zawadzki_rounds(&path, None);
+    world.write_first_config(2.0);
     if !world.start_balancers() {
         exit(2);
     }
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -25,24 +25,7 @@
 fn main() {
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let path = std::env::args().nth(1).expect("the path of the record");
-    let mut world = World::new(
-        &path,
-        &[("mazowsze-a", 4), ("mazowsze-b", 3), ("mazowsze-c", 2)],
-    );
-    let zones = [
-        ("mazowsze-a", 5, 2),
-        ("mazowsze-b", 5, 1),
-        ("mazowsze-c", 4, 1),
-    ];
-    let mut id = 0x7f3a_0000u32;
-    for (zone, rounds, sheets) in zones {
-        for (service, count, work) in [("rounds", rounds, 30), ("route-sheets", sheets, 5)] {
-            for _ in 0..count {
-                id += 0x1_2f37;
-                world.add_server(&format!("i-{id:08x}"), service, zone, ms(work));
-            }
-        }
-    }
+    let mut world = World::zawadzki_rounds(&path, None);
     let stops = ("stops", 1, "rounds", "idempotent");
     let old = ("old-sheets", 2, "route-sheets", "download");
     let new = ("new-stops", 3, "rounds", "idempotent");
--- a/review/common-2/world.rs
+++ b/review/common-2/world.rs
@@ -1616,3 +1616,38 @@
         worst
     }
 }
+
+/// The zones of zawadzki-rounds.
+pub const ZONES: [&str; 3] = ["mazowsze-a", "mazowsze-b", "mazowsze-c"];
+/// The requests per second of their callers.
+pub const RATES: [u64; 3] = [134, 145, 121];
+
+impl World {
+    /// Makes the deployment of zawadzki-rounds: nine balancers, 14 servers of `rounds` and 4 of
+    /// `route-sheets`. The first server has the id `first`, if that is given.
+    pub fn zawadzki_rounds(record_path: &str, first: Option<&str>) -> World {
+        let mut world = World::new(record_path, &[(ZONES[0], 4), (ZONES[1], 3), (ZONES[2], 2)]);
+        let mut first = first;
+        for (zone, rounds, sheets) in [(ZONES[0], 5, 2), (ZONES[1], 5, 1), (ZONES[2], 4, 1)] {
+            for (service, count, work) in [("rounds", rounds, 30), ("route-sheets", sheets, 5)] {
+                for _ in 0..count {
+                    let id = format!(
+                        "i-{:08x}",
+                        0x7f3b_2f37 + world.servers.len() as u32 * 0x1_2f37
+                    );
+                    world.add_server(first.take().unwrap_or(&id), service, zone, ms(work));
+                }
+            }
+        }
+        world
+    }
+
+    /// Writes the config with a route to each service.
+    pub fn write_first_config(&self, warmup_per_s: f64) {
+        let routes = [
+            ("stops", 1, "rounds", "idempotent"),
+            ("sheets", 2, "route-sheets", "download"),
+        ];
+        self.write_config(7, &routes, warmup_per_s);
+    }
+}
