--- a/crates/shell/src/packets/setting.rs
+++ b/crates/shell/src/packets/setting.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::net::IpAddr;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 
 use base::prelude::*;
 use forward::cold::RateLimit;
@@ -17,12 +18,18 @@
 use crate::setting::Checker;
 use crate::setting::Fault;
 
+/// The unit of settings in milliseconds.
+const MS: Span = Span::millis(1);
+/// The unit of settings in seconds.
+const SECOND: Span = Span::secs(1);
 /// Largest accepted factor on the rate of cold servers.
 const COLD_OVERAGE_MAX: f64 = 100.0;
 /// Largest accepted number of flows per second to a cold server beyond its rate.
-const COLD_SLACK_MAX: u32 = 10_000;
-/// Largest accepted time, in milliseconds.
-const TIME_MS_MAX: u64 = 600_000;
+const COLD_SLACK_MAX: f64 = 10_000.0;
+/// Largest accepted time.
+const TIME_MAX: Span = Span::secs(600);
+/// Shortest accepted duration of a planned stop.
+const GRACE_MIN: Span = Span::millis(1);
 
 /// Largest accepted rate of the link, in Mbit/s.
 const LINK_MBPS_MAX: f64 = 1_000_000.0;
@@ -62,7 +69,9 @@
     /// Operator's bound on the time until no packet goes into a failure domain that is out, in
     /// milliseconds. `out_after_ms` takes precedence.
     pub out_within_ms: Option<String>,
-    /// Longest duration of a planned stop, in milliseconds.
+    /// Longest duration of a planned stop, in seconds.
+    pub grace_s: Option<String>,
+    /// The same in milliseconds. Takes precedence over `grace_s`.
     pub grace_ms: Option<String>,
     /// Rate of the host's link, in Mbit/s; 0 or empty if not known.
     pub link_mbps: Option<String>,
@@ -113,6 +122,7 @@
         fill(&mut self.cold_slack, "WASABI_COLD_SLACK");
         fill(&mut self.out_after_ms, "WASABI_OUT_AFTER_MS");
         fill(&mut self.out_within_ms, "WASABI_OUT_WITHIN_MS");
+        fill(&mut self.grace_s, "WASABI_GRACE_S");
         fill(&mut self.grace_ms, "WASABI_GRACE_MS");
         fill(&mut self.link_mbps, "WASABI_LINK_MBPS");
         fill(&mut self.cpu_quota, "WASABI_CPU_QUOTA");
@@ -170,24 +180,24 @@
             1.0,
             0.0..=COLD_OVERAGE_MAX,
         );
-        let slack = checker.check_number("cold-slack", raw.cold_slack, 0, 0..=COLD_SLACK_MAX);
+        let slack = checker.check_number("cold-slack", raw.cold_slack, 0.0, 0.0..=COLD_SLACK_MAX);
         let given = |text: Option<String>| text.filter(|text| !text.trim().is_empty());
         let out_after = given(raw.out_after_ms);
         let has_out_after = out_after.is_some();
-        let default = forward::setting::OUT_AFTER.as_millis();
-        let out_after = checker.check_number("out-after-ms", out_after, default, 0..=TIME_MS_MAX);
+        let (default, range) = (forward::setting::OUT_AFTER, Span::ZERO..=TIME_MAX);
+        let out_after = checker.check_time("out-after-ms", out_after, MS, default, range);
         let out_within = given(raw.out_within_ms);
-        let delay = CHANGE_DELAY_MAX.as_millis();
-        let default = out_after + delay;
-        let range = 0..=TIME_MS_MAX + delay;
-        let out_within = checker.check_number("out-within-ms", out_within, default, range);
+        let default = Span(out_after.0 + CHANGE_DELAY_MAX.0);
+        let range = Span::ZERO..=Span(TIME_MAX.0 + CHANGE_DELAY_MAX.0);
+        let out_within = checker.check_time("out-within-ms", out_within, MS, default, range);
         let out_after = match has_out_after {
             true => out_after,
             // A bound that no change can meet is met as far as possible: flows are cut at once.
-            false => out_within.saturating_sub(delay),
+            false => Span(out_within.0.saturating_sub(CHANGE_DELAY_MAX.0)),
         };
-        let grace = forward::setting::GRACE.as_millis();
-        let grace = checker.check_number("grace-ms", raw.grace_ms, grace, 1..=TIME_MS_MAX);
+        let (default, range) = (forward::setting::GRACE, GRACE_MIN..=TIME_MAX);
+        let grace = checker.check_time("grace-s", raw.grace_s, SECOND, default, range.clone());
+        let grace = checker.check_time("grace-ms", raw.grace_ms, MS, grace, range);
         let link = checker.check_capacity("link-mbps", given(raw.link_mbps), LINK_MBPS_MAX);
         let cores = checker.check_capacity("cpu-quota", given(raw.cpu_quota), CPU_QUOTA_MAX);
         let start_from = checker.check_start_from("start-from", given(raw.start_from));
@@ -198,13 +208,14 @@
         };
         let cold = RateLimit {
             overage_percent: (overage * 100.0) as u32,
-            slack,
+            // A fraction of a flow cannot be sent, and more than the limit must not be.
+            slack: slack as u32,
         };
         let forward = forward::setting::Setting::new(name, domain, peer, admin)
             .with_seeds(seeds)
             .with_cold(cold)
-            .with_out_after(Span::millis(out_after))
-            .with_grace(Span::millis(grace))
+            .with_out_after(out_after)
+            .with_grace(grace)
             .with_capacity(capacity)
             .with_start_from(start_from);
         let setting = Setting {
@@ -236,6 +247,21 @@
 }
 
 impl Checker {
+    /// Returns a time that is given in `unit`, possibly with a fraction.
+    fn check_time(
+        &mut self,
+        flag: &'static str,
+        value: Option<String>,
+        unit: Span,
+        default: Span,
+        range: RangeInclusive<Span>,
+    ) -> Span {
+        let in_unit = |time: Span| time.0 as f64 / unit.0 as f64;
+        let range = in_unit(*range.start())..=in_unit(*range.end());
+        let number = self.check_number(flag, value, in_unit(default), range);
+        Span((number * unit.0 as f64).round() as u64)
+    }
+
     /// Returns a capacity of the host; 0 if it is not known.
     fn check_capacity(&mut self, flag: &'static str, value: Option<String>, max: f64) -> f64 {
         let value = value.map(|text| text.trim().to_owned());
--- a/crates/wasabid/src/flag.rs
+++ b/crates/wasabid/src/flag.rs
@@ -178,11 +178,17 @@
         "MS",
         "bound on the time until no packet goes into a failure domain that is out: open flows are cut 2000 ms before it [default: 5000]",
     );
+    let grace_s = text_flag(
+        "grace-s",
+        "WASABI_GRACE_S",
+        "S",
+        "longest duration of a planned stop, in seconds, such as `6` or `6.5` [default: 5]",
+    );
     let grace_ms = text_flag(
         "grace-ms",
         "WASABI_GRACE_MS",
         "MS",
-        "longest duration of a planned stop [default: 5000]",
+        "the same in milliseconds; overrides --grace-s",
     );
     let link_mbps = text_flag(
         "link-mbps",
@@ -216,6 +222,7 @@
         cold_slack,
         out_after_ms,
         out_within_ms,
+        grace_s,
         grace_ms,
         link_mbps,
         cpu_quota,
