--- a/crates/forward/src/count.rs
+++ b/crates/forward/src/count.rs
@@ -15,6 +15,8 @@
     Copies,
     /// Flows moved to another server because the previous one did not answer.
     Moves,
+    /// Flows assigned anew because the platform's objects no longer lead to their server.
+    Rerouted,
     /// Opening packets dropped because no server could take them yet.
     Held,
     /// Flows that were admitted while their pool was short of capacity.
@@ -77,9 +79,15 @@
 }
 
 /// The counters, each since the start of the process.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Counts([u64; Kind::COUNT]);
 
+impl Default for Counts {
+    fn default() -> Counts {
+        Counts([0; Kind::COUNT])
+    }
+}
+
 impl Kind {
     /// Returns the counter of refused flows of a priority.
     pub fn refused(priority: u8) -> Kind {
--- a/crates/forward/src/note.rs
+++ b/crates/forward/src/note.rs
@@ -73,6 +73,18 @@
         /// The data behind the selection of the server.
         basis: Basis,
     },
+    /// An opening packet of a flow that was assigned to a server is decided anew, since the
+    /// platform's objects no longer lead to that server.
+    Rerouted {
+        /// The flow.
+        flow: Id,
+        /// The server that it was assigned to.
+        from: String,
+        /// Whether the server had answered.
+        was_open: bool,
+        /// Revision of the routing in force.
+        routing: u64,
+    },
     /// A flow expired without an answer, or idle without an end by the caller.
     Expired {
         /// The flow.
@@ -301,6 +313,9 @@
             Note::Moved { flow, from, to, .. } => {
                 write!(f, "{flow}: {from} did not answer, moved to {to}")
             }
+            Note::Rerouted { flow, from, .. } => {
+                write!(f, "{flow}: {from} is no longer a server of its route")
+            }
             Note::Expired { flow, server, .. } => write!(f, "{flow}: expired at {server}"),
             Note::Reset { flow, server } => write!(f, "{flow}: reset, {server} is unreachable"),
             Note::Suspected { server, flow, .. } => {
--- a/crates/forward/src/opening.rs
+++ b/crates/forward/src/opening.rs
@@ -1,4 +1,7 @@
 //! Opening packets: server selection for new flows, and retransmissions of flows without an answer.
+//!
+//! The flow table says where earlier opening packets of a flow went. The platform's objects in force
+//! decide whether the next one may go there.
 
 use base::prelude::*;
 use conf::key;
@@ -37,8 +40,8 @@
         return Verdict::Drop(Code::NotReady);
     }
     let verdict = match state.flows.get(id).copied() {
-        Some(flow) => handle_retransmission(state, id, flow, out),
-        None => assign_server(state, id, head, out),
+        Some(flow) => handle_repeated(state, id, flow, head, out),
+        None => assign_server(state, id, head, head.ack > 0, out),
     };
     match verdict {
         // Another balancer may have opened the flow while the packet queued here, and a reset would
@@ -48,7 +51,15 @@
     }
 }
 
-fn assign_server(state: &mut Forwarder, id: Id, head: &Head, out: &mut Vec<Effect>) -> Verdict {
+/// Assigns a flow to a server. `is_late` says whether the caller has waited for an answer and this
+/// balancer had no earlier opening packet of the flow.
+fn assign_server(
+    state: &mut Forwarder,
+    id: Id,
+    head: &Head,
+    is_late: bool,
+    out: &mut Vec<Effect>,
+) -> Verdict {
     let Some(route) = state.table.route(id.service) else {
         return refuse_flow(state, id, Code::NoService, out);
     };
@@ -79,7 +90,7 @@
         }
     }
     let selection = match pool {
-        Some(pool) => select_server(state, id, pool, None, head.ack > 0),
+        Some(pool) => select_server(state, id, pool, None, is_late),
         None => Selection::Unavailable,
     };
     match selection {
@@ -216,26 +227,83 @@
     forward_to(state, id, server)
 }
 
-/// Decides on a repeated opening packet. If its server has not answered by the time that the caller
-/// retransmits, the flow moves to another server.
-fn handle_retransmission(
+/// Decides on an opening packet of a flow in the table.
+fn handle_repeated(
     state: &mut Forwarder,
     id: Id,
     flow: Flow,
+    head: &Head,
     out: &mut Vec<Effect>,
 ) -> Verdict {
-    let now = state.now;
     state.counts.add(Kind::Copies);
-    if flow.phase == Phase::Open || now.since(flow.opening_sent_at) < NETWORK_DUPLICATE_WINDOW {
-        return forward_to(state, id, flow.server);
+    let waited = state.now.since(flow.opening_sent_at);
+    let is_duplicate = flow.phase == Phase::Open || waited < NETWORK_DUPLICATE_WINDOW;
+    if !is_duplicate {
+        record_unanswered(state, id, &flow, out);
+    }
+    if !is_in_force(state, id, &flow) {
+        return reroute(state, id, &flow, head, out);
     }
+    match is_duplicate {
+        true => forward_to(state, id, flow.server),
+        false => handle_retransmission(state, id, flow, out),
+    }
+}
+
+/// Returns whether the platform's objects in force still lead from a flow's service address to its
+/// server.
+///
+/// While the flow is not open, a server that has stopped taking flows may still answer: all copies
+/// follow the first packet within 600 ms. The caller of an open flow sends no copies, so that a late
+/// opening packet may be the first of another flow from the same address.
+fn is_in_force(state: &Forwarder, id: Id, flow: &Flow) -> bool {
+    let row = state.table.server(flow.server);
+    let route = state.table.route(id.service);
+    let leads_to = |pool| route.is_some_and(|route| route.leads_to(pool));
+    let is_out = state.table.domain(row.domain).out_since.is_some();
+    row.pool.is_some_and(leads_to)
+        && (flow.phase == Phase::Opening || row.is_accepting(state.now) && !is_out)
+}
+
+/// Decides on an opening packet as on one of a new flow, since the server of the flow in the table is
+/// no longer in force.
+fn reroute(
+    state: &mut Forwarder,
+    id: Id,
+    flow: &Flow,
+    head: &Head,
+    out: &mut Vec<Effect>,
+) -> Verdict {
+    state.counts.add(Kind::Rerouted);
+    let was_open = flow.phase == Phase::Open;
+    out.push(Effect::Note(Note::Rerouted {
+        flow: id,
+        from: state.table.server(flow.server).name.clone(),
+        was_open,
+        routing: state.table.routing_version(),
+    }));
+    state.remove_flow(id);
+    match assign_server(state, id, head, false, out) {
+        // The packet may be a late copy, and a reset would end the open flow. The caller of another
+        // flow sends a copy, which finds no entry.
+        Verdict::Reset(code) if was_open => Verdict::Drop(code),
+        verdict => verdict,
+    }
+}
+
+/// Records that the server of a flow left its opening packet unanswered until the caller's
+/// retransmission.
+fn record_unanswered(state: &mut Forwarder, id: Id, flow: &Flow, out: &mut Vec<Effect>) {
+    let now = state.now;
     // A copy that may have queued as well does not show that the caller still waits.
-    let is_waiting = !state.backlog.is_active(now);
-    if let Some(entry) = state.flows.get_mut(id).filter(|_| is_waiting) {
+    if state.backlog.is_active(now) {
+        return;
+    }
+    if let Some(entry) = state.flows.get_mut(id) {
         entry.is_backlog = false;
     }
     let row = state.table.server_mut(flow.server);
-    if is_waiting && row.health.record_unanswered(now, flow.opening_sent_at) {
+    if row.health.record_unanswered(now, flow.opening_sent_at) {
         out.push(Effect::Note(Note::Suspected {
             server: row.name.clone(),
             flow: id,
@@ -243,6 +311,18 @@
         }));
         state.has_urgent_evidence = true;
     }
+}
+
+/// Moves a flow to another server, since its own has not answered by the time that the caller
+/// retransmits its opening packet.
+fn handle_retransmission(
+    state: &mut Forwarder,
+    id: Id,
+    flow: Flow,
+    out: &mut Vec<Effect>,
+) -> Verdict {
+    let now = state.now;
+    let row = state.table.server(flow.server);
     let (pool, is_confirmed) = (row.pool, row.health.is_confirmed());
     // A flow that is in the table may move to a server without a free slot, unlike a retransmitted
     // one that this balancer has not seen.
--- a/crates/forward/src/table/route.rs
+++ b/crates/forward/src/table/route.rs
@@ -46,4 +46,10 @@
         }
         unreachable!("the weights of a route add up to its total")
     }
+
+    /// Returns whether some new flows go to a pool.
+    pub fn leads_to(&self, pool: key::Pool) -> bool {
+        let mut shares = self.shares.iter();
+        shares.any(|&(share, weight)| share == pool && weight > 0)
+    }
 }
--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod load;
 mod loss;
 mod observation;
+mod opening;
 mod overload;
 mod overview;
 mod pace;
--- a/crates/forward/tests/all/promise.rs
+++ b/crates/forward/tests/all/promise.rs
@@ -263,4 +263,17 @@
         }
         assert_eq!(before, vec![version; 9], "the change must be in force after 3 s");
     };
+    /// No copy of an opening packet follows a route that was dropped, while callers send many.
+    promise_10_routes_dropped_while_servers_are_silent: lossy, |sim| {
+        for server in 0..12 {
+            sim.make_unresponsive(server);
+        }
+        for _ in 0..6 {
+            sim.write_routing_with(|routing| routing.routes.clear());
+            sim.run_for(Span::millis(300));
+            sim.write_routing();
+            sim.run_for(Span::millis(300));
+        }
+        sim.run_for(Span::secs(2));
+    };
 }
--- a/crates/forward/tests/all/sim/driver.rs
+++ b/crates/forward/tests/all/sim/driver.rs
@@ -12,6 +12,7 @@
 use super::caller;
 use super::Simulation;
 use super::Task;
+use super::Violation;
 use super::CALLER_LATENCY;
 use super::FAILED_PROBES_THRESHOLD;
 use super::PROBE_INTERVAL;
@@ -197,7 +198,10 @@
                     host.bytes += u64::from(head.length) + forward::host::gate::OVERHEAD_BYTES;
                 }
                 let mut head = *head;
-                head.token = token.unwrap_or(head.token);
+                if let Some(token) = token {
+                    self.check_route(balancer, &head, token);
+                    head.token = token;
+                }
                 self.forward_packet(balancer, target, head);
             }
             Verdict::Reset(_) => self.send_reset(head),
@@ -205,6 +209,20 @@
         }
     }
 
+    /// Checks that the routing in force at a balancer leads to the server of an opening packet.
+    fn check_route(&mut self, balancer: usize, head: &Head, token: Token) {
+        let table = self.reducer(balancer).table();
+        let server = table.server_by_mark(token.mark(head.service));
+        let pool = server.and_then(|server| table.server(server).pool);
+        let route = table.route(head.service);
+        if !route
+            .zip(pool)
+            .is_some_and(|(route, pool)| route.leads_to(pool))
+        {
+            self.violations.insert(Violation::OffRoute(balancer));
+        }
+    }
+
     fn send_reset(&mut self, head: &Head) {
         let packet = caller::Packet {
             to: head.caller,
--- a/crates/forward/tests/all/sim/mod.rs
+++ b/crates/forward/tests/all/sim/mod.rs
@@ -68,6 +68,8 @@
     DrainExpired(usize),
     /// A request that is not idempotent ran twice.
     RepeatedRun(u32),
+    /// A balancer forwarded an opening packet to a pool to which no route in force there leads.
+    OffRoute(usize),
 }
 
 /// A simulated balancer.
--- a/crates/shell/src/packets/trace.rs
+++ b/crates/shell/src/packets/trace.rs
@@ -142,6 +142,19 @@
             open = basis.open,
             loads_age_ms = basis.age.as_millis(),
         ),
+        Note::Rerouted {
+            flow,
+            from,
+            was_open,
+            routing,
+        } => tracing::info!(
+            event = "flow-rerouted",
+            caller = %flow.caller,
+            service = %flow.service,
+            from,
+            was_open,
+            routing,
+        ),
         Note::Expired {
             flow,
             server,
@@ -316,6 +329,7 @@
             | Note::Admission { .. }
             | Note::Deferred { .. }
             | Note::Moved { .. }
+            | Note::Rerouted { .. }
             | Note::Expired { .. }
             | Note::Reset { .. }
             | Note::SlowServer { .. }
