wasabid: a start leaves invalid lines of its settings file out

Cause: a start refused all settings for one invalid value, even where the setting has a default that callers can be served with. No metric showed a reload that had failed before.

Evidence: a_process_starts_without_the_invalid_lines_of_its_settings_file failed before the change: the process exited before it logged anything.

Change: Setting::with_usable_lines leaves such lines out, each with a line setting-left-out. Names and addresses stay required, and an invalid flag ends the start as before. The gauge settings_invalid is 1 until the file is read without a fault. A reload with a fault still changes nothing.

--- a/crates/shell/src/packets/run.rs
+++ b/crates/shell/src/packets/run.rs
@@ -77,6 +77,8 @@
     /// The settings file, whose modification time triggers a reload.
     file: Option<PathBuf>,
     reload: Reload,
+    /// Whether the settings file, as last read, has a fault.
+    has_invalid_settings: bool,
 }
 
 impl<C: forward::codec::Codec, S: Source> Shell<C, S> {
@@ -111,9 +113,16 @@
             queries,
             file: None,
             reload: Box::new(|| Err("no settings file is configured".into())),
+            has_invalid_settings: false,
         })
     }
 
+    /// Sets whether lines of the settings file were left out at the start.
+    pub fn with_invalid_settings(mut self, has_invalid_settings: bool) -> Shell<C, S> {
+        self.has_invalid_settings = has_invalid_settings;
+        self
+    }
+
     /// Sets the settings file to watch and the function that reads it again.
     pub fn with_reload(mut self, file: Option<PathBuf>, reload: Reload) -> Shell<C, S> {
         self.file = file;
@@ -421,11 +430,18 @@
         match query {
             Query::Dump(to) => drop(to.send(self.reducer.to_string())),
             Query::Ready(to) => drop(to.send(self.reducer.is_ready())),
-            Query::Counts(to) => drop(to.send(reducer_counts(&self.reducer))),
+            Query::Counts(to) => drop(to.send(self.counts())),
             Query::Load(to) => drop(to.send(self.reducer.overview().to_json().ok())),
         }
     }
 
+    fn counts(&self) -> Vec<Count> {
+        let has_invalid = u64::from(self.shell.has_invalid_settings);
+        let mut counts = reducer_counts(&self.reducer);
+        counts.push(Count::new("settings_invalid", has_invalid));
+        counts
+    }
+
     /// Performs the pending effects. `data` is the payload of the packet that caused them, empty if
     /// no packet did.
     fn run_effects(&mut self, now: Time, data: &[u8]) {
--- a/crates/shell/src/packets/run/reload.rs
+++ b/crates/shell/src/packets/run/reload.rs
@@ -11,7 +11,9 @@
 impl<C: forward::codec::Codec, S> Loop<C, S> {
     /// Puts changed settings in force. Faulty ones change nothing.
     pub(super) fn reload(&mut self, now: Time) {
-        let setting = match (self.shell.reload)() {
+        let read = (self.shell.reload)();
+        self.shell.has_invalid_settings = read.is_err();
+        let setting = match read {
             Ok(setting) => setting,
             Err(why) => {
                 tracing::warn!(event = "reload-failed", code = %Code::BadSetting, why);
--- a/crates/shell/src/packets/setting.rs
+++ b/crates/shell/src/packets/setting.rs
@@ -39,6 +39,22 @@
 /// less.
 const CAPACITY_MIN: f64 = 0.001;
 
+/// The flags whose settings have a default that callers can be served with. The others say which
+/// balancer this is and how it is reached.
+const DEFAULTED_FLAGS: [&str; 11] = [
+    "seeds",
+    "log",
+    "cold-overage",
+    "cold-slack",
+    "out-after-ms",
+    "out-within-ms",
+    "grace-s",
+    "grace-ms",
+    "link-mbps",
+    "cpu-quota",
+    "start-from",
+];
+
 /// Settings before validation. `None` is a setting that was not given.
 #[derive(Clone, Debug, Default)]
 pub struct Raw {
@@ -103,8 +119,15 @@
     ///
     /// Returns a fault for each line that is not empty, a comment or a setting. Unknown names are
     /// ignored, since the file may belong to a later release.
-    pub fn with_file(mut self, text: &str) -> Result<Raw, Vec<Fault>> {
-        let mut lines = parse_file(text)?;
+    pub fn with_file(self, text: &str) -> Result<Raw, Vec<Fault>> {
+        let (lines, faults) = parse_file(text);
+        match faults.is_empty() {
+            true => Ok(self.with_lines(lines)),
+            false => Err(faults),
+        }
+    }
+
+    fn with_lines(mut self, mut lines: BTreeMap<String, String>) -> Raw {
         let mut fill = |field: &mut Option<String>, name: &str| {
             let given = lines.remove(name).filter(|value| !value.is_empty());
             *field = field.take().or(given);
@@ -127,11 +150,13 @@
         fill(&mut self.link_mbps, "WASABI_LINK_MBPS");
         fill(&mut self.cpu_quota, "WASABI_CPU_QUOTA");
         fill(&mut self.start_from, "WASABI_START_FROM");
-        Ok(self)
+        self
     }
 }
 
-fn parse_file(text: &str) -> Result<BTreeMap<String, String>, Vec<Fault>> {
+/// Returns the values of a settings file by name, and a fault for each other line that is not empty
+/// or a comment.
+fn parse_file(text: &str) -> (BTreeMap<String, String>, Vec<Fault>) {
     let mut values = BTreeMap::new();
     let mut faults = Vec::new();
     for (index, line) in text.lines().enumerate() {
@@ -150,10 +175,12 @@
             }),
         }
     }
-    match faults.is_empty() {
-        true => Ok(values),
-        false => Err(faults),
-    }
+    (values, faults)
+}
+
+/// Returns the name under which a settings file has the setting of a flag.
+fn variable_name(flag: &str) -> String {
+    format!("WASABI_{}", flag.to_uppercase().replace('-', "_"))
 }
 
 impl Setting {
@@ -228,6 +255,33 @@
         checker.finish(setting)
     }
 
+    /// Validates the settings of a process that starts, with a settings file. An invalid line is left
+    /// out if its setting has a default: a balancer with defaults serves callers, and one that
+    /// ends does not.
+    ///
+    /// Returns the faults of the lines that were left out.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault if one is left that has no default or is not in the file.
+    pub fn with_usable_lines(raw: &Raw, text: &str) -> Result<(Setting, Vec<Fault>), Vec<Fault>> {
+        let (mut lines, mut faults) = parse_file(text);
+        let invalid = match Setting::new(raw.clone().with_lines(lines.clone())) {
+            Ok(setting) => return Ok((setting, faults)),
+            Err(invalid) => invalid,
+        };
+        for fault in &invalid {
+            if DEFAULTED_FLAGS.contains(&fault.flag) {
+                lines.remove(&variable_name(fault.flag));
+            }
+        }
+        faults.extend(invalid);
+        match Setting::new(raw.clone().with_lines(lines)) {
+            Ok(setting) => Ok((setting, faults)),
+            Err(_) => Err(faults),
+        }
+    }
+
     /// Returns the names of the settings that differ in `new` and take effect only after a restart.
     pub fn fixed_changes(&self, new: &Setting) -> Vec<&'static str> {
         let (own, other) = (&self.forward, &new.forward);
--- a/crates/shell/tests/packets.rs
+++ b/crates/shell/tests/packets.rs
@@ -18,6 +18,7 @@
 use shell::packets::setting::Setting;
 use shell::packets::source::LoggedFaults;
 use shell::packets::trace::request_id;
+use shell::setting::Fault;
 use wire::frame::Body;
 use wire::frame::Frame;
 use wire::frame::Objects;
@@ -76,6 +77,7 @@
             if let Ok(raw) = Raw::default().with_file(&text) {
                 let _ = Setting::new(raw);
             }
+            let _ = Setting::with_usable_lines(&Raw::default(), &text);
         }
     }
 
@@ -393,6 +395,60 @@
     );
 }
 
+/// Returns the settings of a process that starts with further lines in its file, and the flags of the
+/// lines that were left out.
+fn start_with(raw: &Raw, lines: &str) -> Result<(Setting, Vec<&'static str>), Vec<&'static str>> {
+    let flags = |faults: Vec<Fault>| faults.iter().map(|fault| fault.flag).collect();
+    match Setting::with_usable_lines(raw, &format!("{FILE}{lines}")) {
+        Ok((setting, faults)) => Ok((setting, flags(faults))),
+        Err(faults) => Err(flags(faults)),
+    }
+}
+
+/// Defines a test for invalid lines that do not keep a process from starting, with their flags. The
+/// other lines stay in force.
+macro_rules! left_out_lines {
+    ($($name:ident: $lines:literal => $flags:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let (setting, flags) = start_with(&Raw::default(), $lines).expect("starts");
+                assert_eq!(flags, $flags);
+                assert_eq!(setting.forward.cold.overage_percent, 150);
+            }
+        )*
+    };
+}
+
+left_out_lines! {
+    a_start_without_faults: "" => [""; 0];
+    a_start_with_a_grace_time_out_of_range: "WASABI_GRACE_MS=\nWASABI_GRACE_S=900" => ["grace-s"];
+    a_start_with_a_slack_that_is_no_number: "WASABI_COLD_SLACK=true" => ["cold-slack"];
+    a_start_with_a_bound_out_of_range: "WASABI_OUT_WITHIN_MS=700000" => ["out-within-ms"];
+    a_start_with_a_wrong_filter: "WASABI_LOG=a=b=c" => ["log"];
+    a_start_with_wrong_seeds: "WASABI_SEEDS=nowhere" => ["seeds"];
+    a_start_with_a_wrong_source: "WASABI_START_FROM=disk" => ["start-from"];
+    a_start_with_wrong_capacities: "WASABI_LINK_MBPS=x\nWASABI_CPU_QUOTA=y" => ["link-mbps", "cpu-quota"];
+    a_start_with_a_line_that_is_no_setting: "what\nWASABI_OUT_AFTER_MS=x" => ["settings", "out-after-ms"];
+}
+
+/// A balancer that does not know its own addresses cannot serve.
+#[test]
+fn a_start_without_a_valid_address_fails() {
+    let flags = start_with(&Raw::default(), "WASABI_ENTRY=nowhere\nWASABI_GRACE_S=x");
+    assert_eq!(flags.expect_err("no entry"), ["entry", "grace-s"]);
+}
+
+/// Whoever gives a flag reads the answer, so that nothing is left out there.
+#[test]
+fn a_start_with_an_invalid_flag_fails() {
+    let raw = Raw {
+        grace_ms: Some("nothing".into()),
+        ..Raw::default()
+    };
+    assert_eq!(start_with(&raw, "").expect_err("a fault"), ["grace-ms"]);
+}
+
 #[test]
 fn changes_that_need_a_restart_are_listed() {
     let read = |text: &str| {
--- a/crates/wasabid/src/forward.rs
+++ b/crates/wasabid/src/forward.rs
@@ -21,8 +21,18 @@
 pub(crate) fn start(dialect: Dialect, file: Option<PathBuf>, raw: Raw) -> eyre::Result<Outcome> {
     shell::packets::signal::block_reload()?;
     let file = file.or_else(platform::setting::path);
-    let setting = read_settings(&raw, file.as_deref()).map_err(Faults)?;
+    let (setting, left_out) = match file.as_deref() {
+        Some(file) => {
+            let text = read_file(file).map_err(Faults)?;
+            Setting::with_usable_lines(&raw, &text).map_err(Faults)?
+        }
+        None => (Setting::new(raw.clone()).map_err(Faults)?, Vec::new()),
+    };
     let sink = shell::log::init_buffered(&setting.forward.name, &setting.log)?;
+    for fault in &left_out {
+        let Fault { code, flag, text } = fault;
+        tracing::warn!(event = "setting-left-out", code = %code, flag, why = text);
+    }
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -32,6 +42,7 @@
         raw,
         file,
         setting,
+        has_left_out: !left_out.is_empty(),
         sink,
     };
     match dialect {
@@ -48,6 +59,8 @@
     raw: Raw,
     file: Option<PathBuf>,
     setting: Setting,
+    /// Whether lines of the settings file were left out.
+    has_left_out: bool,
     sink: Sink,
 }
 
@@ -57,13 +70,15 @@
             raw,
             file,
             setting,
+            has_left_out,
             sink,
         } = self;
         let path = file.clone();
         let reload =
             move || read_settings(&raw, path.as_deref()).map_err(|faults| join_faults(&faults));
         let shell = Shell::bind(setting, platform::head::PacketCodec, source, sink).await?;
-        shell.with_reload(file, Box::new(reload)).run().await
+        let shell = shell.with_reload(file, Box::new(reload));
+        shell.with_invalid_settings(has_left_out).run().await
     }
 }
 
@@ -72,14 +87,17 @@
     let Some(file) = file else {
         return Setting::new(raw);
     };
-    let text = std::fs::read_to_string(file).map_err(|error| {
+    Setting::new(raw.with_file(&read_file(file)?)?)
+}
+
+fn read_file(file: &Path) -> Result<String, Vec<Fault>> {
+    std::fs::read_to_string(file).map_err(|error| {
         vec![Fault {
             code: base::prelude::Code::BadSetting,
             flag: "settings",
             text: format!("{}: {error}", file.display()),
         }]
-    })?;
-    Setting::new(raw.with_file(&text)?)
+    })
 }
 
 fn join_faults(faults: &[Fault]) -> String {
--- a/crates/wasabid/tests/forward.rs
+++ b/crates/wasabid/tests/forward.rs
@@ -298,6 +298,29 @@
     assert!(balancer.child.wait().expect("the process exits").success());
 }
 
+/// Guards against a value in the settings file that keeps every balancer from starting.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_starts_without_the_invalid_lines_of_its_settings_file() {
+    let lines = "WASABI_GRACE_S=nothing\nno setting\nWASABI_COLD_SLACK=5.5\n";
+    let mut deployment = Deployment::start("left-out", lines).await;
+    let metrics = |deployment: &Deployment| get_page(deployment.admin, "/metrics");
+    let balancer = &mut deployment.balancer;
+    assert_eq!(balancer.next_event("setting-left-out")["flag"], "settings");
+    let line = balancer.next_event("setting-left-out");
+    assert_eq!(line["flag"], "grace-s");
+    assert!(line["why"].to_string().contains("`nothing`"), "{line}");
+    assert_eq!(balancer.next_event("ready")["is_ready"], true);
+    deployment.open_flow();
+    let text = metrics(&deployment);
+    assert!(text.contains("wasabi_node_settings_invalid 1"), "{text}");
+
+    std::fs::write(&deployment.settings, "WASABI_GRACE_S=6.5\n").expect("written");
+    deployment.balancer.signal("-HUP");
+    deployment.balancer.next_event("reloaded");
+    let text = metrics(&deployment);
+    assert!(text.contains("wasabi_node_settings_invalid 0"), "{text}");
+}
+
 /// Guards against a short link on which the network drops packets in any order, and against pacing
 /// that goes on when the setting is removed.
 #[tokio::test(flavor = "multi_thread")]
