shell: a grace time by flag precedes the settings file in either unit

Cause: the two units are two settings, and the flag hid only its own line.

Evidence, and measured result: a_grace_time_by_flag_overrides_the_file_in_either_unit, written with the change, passes; 65 of 65 cases of shell/tests/packets.rs pass.

--- a/crates/shell/src/packets/setting.rs
+++ b/crates/shell/src/packets/setting.rs
@@ -128,6 +128,10 @@
     }
 
     fn with_lines(mut self, mut lines: BTreeMap<String, String>) -> Raw {
+        // A flag precedes the file in either unit.
+        if self.grace_s.is_some() || self.grace_ms.is_some() {
+            lines.retain(|name, _| !name.starts_with("WASABI_GRACE_"));
+        }
         let mut fill = |field: &mut Option<String>, name: &str| {
             let given = lines.remove(name).filter(|value| !value.is_empty());
             *field = field.take().or(given);
--- a/crates/shell/tests/packets.rs
+++ b/crates/shell/tests/packets.rs
@@ -381,6 +381,17 @@
     );
 }
 
+#[test]
+fn a_grace_time_by_flag_overrides_the_file_in_either_unit() {
+    let raw = Raw {
+        grace_s: Some("2.5".into()),
+        ..Raw::default()
+    };
+    let raw = raw.with_file(FILE).expect("well formed");
+    let setting = Setting::new(raw).expect("no faults");
+    assert_eq!(setting.forward.grace, Span::millis(2_500));
+}
+
 /// The longer unit is for templates whose values are in seconds.
 #[test]
 fn a_grace_time_in_milliseconds_takes_precedence() {
--- a/crates/wasabid/src/flag.rs
+++ b/crates/wasabid/src/flag.rs
@@ -188,7 +188,7 @@
         "grace-ms",
         "WASABI_GRACE_MS",
         "MS",
-        "the same in milliseconds; overrides --grace-s",
+        "longest duration of a planned stop, in milliseconds; overrides --grace-s",
     );
     let link_mbps = text_flag(
         "link-mbps",
