forward: duplicates of opening packets go to no second server

A late copy of an open flow, or a duplicate within 100 ms, went to a second server if a change no longer led to the first one. The flow may be open at the first one, and its caller uses the token that arrives last: packets would have gone to a server that doesn't hold the flow and resets it.

Cause: such packets were decided on like those of new flows.

Change: a packet that may be a duplicate goes to the flow's server or is dropped (E315). On an open flow the entry is removed then, so that a caller that uses the address again gets in with its first copy.

--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -110,6 +110,8 @@
     Overloaded = 313,
     /// Reset: the balancer's host is short of link or processor, and refuses a share of flows.
     HostFull = 314,
+    /// Dropped: a late copy of an opening packet came when its server was no longer in force.
+    FlowOutdated = 315,
 
     /// The object has an unknown kind.
     UnknownKind = 400,
--- a/crates/forward/src/count.rs
+++ b/crates/forward/src/count.rs
@@ -15,7 +15,7 @@
     Copies,
     /// Flows moved to another server because the previous one did not answer.
     Moves,
-    /// Flows assigned anew because the platform's objects no longer lead to their server.
+    /// Flows without an answer assigned anew because no route leads to their server any more.
     Rerouted,
     /// Opening packets dropped because no server could take them yet.
     Held,
--- a/crates/forward/src/note.rs
+++ b/crates/forward/src/note.rs
@@ -73,15 +73,12 @@
         /// The data behind the selection of the server.
         basis: Basis,
     },
-    /// An opening packet of a flow that was assigned to a server is decided anew, since the
-    /// platform's objects no longer lead to that server.
+    /// A flow without an answer is assigned anew, since no route leads to its server any more.
     Rerouted {
         /// The flow.
         flow: Id,
         /// The server that it was assigned to.
         from: String,
-        /// Whether the server had answered.
-        was_open: bool,
         /// Revision of the routing in force.
         routing: u64,
     },
--- a/crates/forward/src/opening.rs
+++ b/crates/forward/src/opening.rs
@@ -237,58 +237,62 @@
 ) -> Verdict {
     state.counts.add(Kind::Copies);
     let waited = state.now.since(flow.opening_sent_at);
-    let is_duplicate = flow.phase == Phase::Open || waited < NETWORK_DUPLICATE_WINDOW;
-    if !is_duplicate {
-        record_unanswered(state, id, &flow, out);
+    if flow.phase == Phase::Open || waited < NETWORK_DUPLICATE_WINDOW {
+        return handle_duplicate(state, id, &flow);
     }
-    if !is_in_force(state, id, &flow) {
-        return reroute(state, id, &flow, head, out);
-    }
-    match is_duplicate {
-        true => forward_to(state, id, flow.server),
-        false => handle_retransmission(state, id, flow, out),
+    record_unanswered(state, id, &flow, out);
+    match leads_to_server(state, id, flow.server) {
+        true => handle_retransmission(state, id, flow, out),
+        false => reroute(state, id, flow.server, head, out),
     }
 }
 
-/// Returns whether the platform's objects in force still lead from a flow's service address to its
-/// server.
-///
-/// While the flow is not open, a server that has stopped taking flows may still answer: all copies
-/// follow the first packet within 600 ms. The caller of an open flow sends no copies, so that a late
-/// opening packet may be the first of another flow from the same address.
-fn is_in_force(state: &Forwarder, id: Id, flow: &Flow) -> bool {
-    let row = state.table.server(flow.server);
+/// Returns whether a route in force leads from a flow's service address to a server.
+fn leads_to_server(state: &Forwarder, id: Id, server: key::Server) -> bool {
+    let pool = state.table.server(server).pool;
     let route = state.table.route(id.service);
-    let leads_to = |pool| route.is_some_and(|route| route.leads_to(pool));
+    route
+        .zip(pool)
+        .is_some_and(|(route, pool)| route.leads_to(pool))
+}
+
+/// Forwards an opening packet to the server that has had it before, unless that server is no longer in
+/// force. The packet must not go to another server then: an answer from there would take the flow
+/// away from the first one, which may hold it.
+fn handle_duplicate(state: &mut Forwarder, id: Id, flow: &Flow) -> Verdict {
+    let row = state.table.server(flow.server);
     let is_out = state.table.domain(row.domain).out_since.is_some();
-    row.pool.is_some_and(leads_to)
-        && (flow.phase == Phase::Opening || row.is_accepting(state.now) && !is_out)
+    // A flow opens within the time of a duplicate. A later packet may be the first of another flow from
+    // the same address, which a server that is leaving must not get.
+    let may_take = flow.phase == Phase::Opening || row.is_accepting(state.now) && !is_out;
+    if may_take && leads_to_server(state, id, flow.server) {
+        return forward_to(state, id, flow.server);
+    }
+    if flow.phase == Phase::Open {
+        // The caller of another flow sends a copy, which is decided on without the old entry. Packets
+        // of the open flow need none.
+        state.remove_flow(id);
+    }
+    Verdict::Drop(Code::FlowOutdated)
 }
 
-/// Decides on an opening packet as on one of a new flow, since the server of the flow in the table is
-/// no longer in force.
+/// Decides on a retransmission as on the opening packet of a new flow, since no route leads to the
+/// flow's server any more.
 fn reroute(
     state: &mut Forwarder,
     id: Id,
-    flow: &Flow,
+    from: key::Server,
     head: &Head,
     out: &mut Vec<Effect>,
 ) -> Verdict {
     state.counts.add(Kind::Rerouted);
-    let was_open = flow.phase == Phase::Open;
     out.push(Effect::Note(Note::Rerouted {
         flow: id,
-        from: state.table.server(flow.server).name.clone(),
-        was_open,
+        from: state.table.server(from).name.clone(),
         routing: state.table.routing_version(),
     }));
     state.remove_flow(id);
-    match assign_server(state, id, head, false, out) {
-        // The packet may be a late copy, and a reset would end the open flow. The caller of another
-        // flow sends a copy, which finds no entry.
-        Verdict::Reset(code) if was_open => Verdict::Drop(code),
-        verdict => verdict,
-    }
+    assign_server(state, id, head, false, out)
 }
 
 /// Records that the server of a flow left its opening packet unanswered until the caller's
--- a/crates/shell/src/packets/trace.rs
+++ b/crates/shell/src/packets/trace.rs
@@ -145,14 +145,12 @@
         Note::Rerouted {
             flow,
             from,
-            was_open,
             routing,
         } => tracing::info!(
             event = "flow-rerouted",
             caller = %flow.caller,
             service = %flow.service,
             from,
-            was_open,
             routing,
         ),
         Note::Expired {
