forward, shell: one piece of code for three twins

- That a server takes new flows (it is accepting, and its domain is in) was tested in four places, the newest in handle_duplicate: all call Table::takes_flows.
- That an opening packet without an answer starts a suspicion stood in opening and in tick: both call check::record_unanswered.
- The counters of the process were collected by two functions.

--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -203,9 +203,8 @@
         let servers = self.table.pool(self.pool).servers.iter();
         let rows = servers.map(|&server| (server, self.table.server(server)));
         rows.filter(|(server, row)| {
-            row.is_accepting(self.now)
+            self.table.takes_flows(*server, self.now)
                 && !row.health.is_suspected()
-                && self.table.domain(row.domain).out_since.is_none()
                 && !self.table.is_cold(*server, self.now)
         })
     }
--- a/crates/forward/src/check.rs
+++ b/crates/forward/src/check.rs
@@ -15,6 +15,8 @@
 use crate::count::Kind;
 use crate::effect::Effect;
 use crate::established;
+use crate::flow::Flow;
+use crate::flow::Id;
 use crate::health;
 pub use crate::health::Outcome;
 use crate::note::Note;
@@ -57,6 +59,23 @@
     }
 }
 
+/// Records that the server of a flow left its opening packet unanswered, which may start a suspicion.
+pub(crate) fn record_unanswered(state: &mut Forwarder, id: Id, flow: &Flow, out: &mut Vec<Effect>) {
+    let waited = state.now.since(flow.opening_sent_at);
+    let row = state.table.server_mut(flow.server);
+    if row
+        .health
+        .record_unanswered(state.now, flow.opening_sent_at)
+    {
+        out.push(Effect::Note(Note::Suspected {
+            server: row.name.clone(),
+            flow: id,
+            waited,
+        }));
+        state.has_urgent_evidence = true;
+    }
+}
+
 /// Suspects all servers of another failure domain in which several servers have failed and none has
 /// answered since: the domain is probably partitioned from here. Checks then decide on all of its
 /// servers at once, rather than on each one after a caller's flow there got no answer.
--- a/crates/forward/src/opening.rs
+++ b/crates/forward/src/opening.rs
@@ -8,6 +8,7 @@
 
 use crate::admission;
 use crate::admission::Decision;
+use crate::check;
 use crate::count::Kind;
 use crate::effect::Effect;
 use crate::flow::Basis;
@@ -260,11 +261,9 @@
 /// force. The packet must not go to another server then: an answer from there would take the flow
 /// away from the first one, which may hold it.
 fn handle_duplicate(state: &mut Forwarder, id: Id, flow: &Flow) -> Verdict {
-    let row = state.table.server(flow.server);
-    let is_out = state.table.domain(row.domain).out_since.is_some();
     // A flow opens within the time of a duplicate. A later packet may be the first of another flow from
     // the same address, which a server that is leaving must not get.
-    let may_take = flow.phase == Phase::Opening || row.is_accepting(state.now) && !is_out;
+    let may_take = flow.phase == Phase::Opening || state.table.takes_flows(flow.server, state.now);
     if may_take && leads_to_server(state, id, flow.server) {
         return forward_to(state, id, flow.server);
     }
@@ -306,15 +305,7 @@
     if let Some(entry) = state.flows.get_mut(id) {
         entry.is_backlog = false;
     }
-    let row = state.table.server_mut(flow.server);
-    if row.health.record_unanswered(now, flow.opening_sent_at) {
-        out.push(Effect::Note(Note::Suspected {
-            server: row.name.clone(),
-            flow: id,
-            waited: now.since(flow.opening_sent_at),
-        }));
-        state.has_urgent_evidence = true;
-    }
+    check::record_unanswered(state, id, flow, out);
 }
 
 /// Moves a flow to another server, since its own has not answered by the time that the caller
--- a/crates/forward/src/select.rs
+++ b/crates/forward/src/select.rs
@@ -226,9 +226,7 @@
     }
 
     fn is_eligible(&self, server: key::Server) -> bool {
-        let row = self.table.server(server);
-        let is_out = self.table.domain(row.domain).out_since.is_some();
-        row.is_accepting(self.now) && !is_out && self.except != Some(server)
+        self.table.takes_flows(server, self.now) && self.except != Some(server)
     }
 
     fn is_admitted(&self, server: key::Server, owns_cold: impl Fn(key::Server) -> bool) -> bool {
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -250,7 +250,7 @@
         for &server in &pool.servers {
             let row = self.table.server(server);
             let domain = self.table.domain(row.domain);
-            if !row.is_accepting(self.now) || domain.out_since.is_some() {
+            if !self.table.takes_flows(server, self.now) {
                 continue;
             }
             if domain.name == self.setting.domain || !row.health.is_confirmed() {
--- a/crates/forward/src/table.rs
+++ b/crates/forward/src/table.rs
@@ -201,10 +201,8 @@
         pools.sort_unstable();
         pools.dedup();
         pools.into_iter().any(|pool| {
-            let mut rows = self.pools[pool]
-                .servers
-                .iter()
-                .map(|&key| &self.servers[key]);
+            let servers = self.pools[pool].servers.iter();
+            let mut rows = servers.map(|&key| &self.servers[key]);
             !rows.any(|row| {
                 let is_in = self.domains[row.domain].out_since.is_none();
                 row.status == Status::Ready && is_in && !row.health.is_confirmed()
@@ -217,6 +215,12 @@
         self.domains.values()
     }
 
+    /// Returns whether a backend server takes new flows: it is accepting, and its failure domain is in.
+    pub fn takes_flows(&self, server: key::Server, now: Time) -> bool {
+        let row = &self.servers[server];
+        row.is_accepting(now) && self.domains[row.domain].out_since.is_none()
+    }
+
     /// Returns whether a backend server is in slow start.
     pub fn is_cold(&self, server: key::Server, now: Time) -> bool {
         let row = &self.servers[server];
@@ -232,9 +236,8 @@
             self.pools[key].object = pool.clone();
         }
         self.routes.clear();
-        for pool in self.pools.values_mut() {
-            pool.has_priorities = false;
-        }
+        let pools = self.pools.values_mut();
+        pools.for_each(|pool| pool.has_priorities = false);
         for route in &routing.routes {
             let SocketAddr::V4(address) = route.address else {
                 continue;
--- a/crates/forward/src/tick.rs
+++ b/crates/forward/src/tick.rs
@@ -227,15 +227,7 @@
     let now = state.now;
     let is_common = !lost.is_empty() && state.lost_openings.is_common(now);
     for &(id, flow) in lost.iter().filter(|(_, flow)| flow.moves > 0 || !is_common) {
-        let row = state.table.server_mut(flow.server);
-        if row.health.record_unanswered(now, flow.opening_sent_at) {
-            state.has_urgent_evidence = true;
-            out.push(Effect::Note(Note::Suspected {
-                server: row.name.clone(),
-                flow: id,
-                waited: now.since(flow.opening_sent_at),
-            }));
-        }
+        check::record_unanswered(state, id, &flow, out);
     }
 }
 
--- a/crates/shell/src/packets/run.rs
+++ b/crates/shell/src/packets/run.rs
@@ -436,10 +436,16 @@
     }
 
     fn counts(&self) -> Vec<Count> {
-        let has_invalid = u64::from(self.shell.has_invalid_settings);
-        let mut counts = reducer_counts(&self.reducer);
-        counts.push(Count::new("settings_invalid", has_invalid));
+        let reducer = &self.reducer;
+        let own = [
+            ("flows", reducer.flows() as u64),
+            ("settings_invalid", self.shell.has_invalid_settings.into()),
+        ];
+        let counts = reducer.counts().iter().chain(own);
         counts
+            .chain(pace::host_values(reducer))
+            .map(|(name, value)| Count::new(name, value))
+            .collect()
     }
 
     /// Performs the pending effects. `data` is the payload of the packet that caused them, empty if
@@ -482,12 +488,3 @@
         }
     }
 }
-
-fn reducer_counts(reducer: &Forwarder) -> Vec<Count> {
-    let own = reducer.counts().iter();
-    let flows = [("flows", reducer.flows() as u64)];
-    own.chain(flows)
-        .chain(pace::host_values(reducer))
-        .map(|(name, value)| Count::new(name, value))
-        .collect()
-}
