--- a/crates/conf/src/fault.rs
+++ b/crates/conf/src/fault.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 
 use base::prelude::*;
+
+use crate::place::Place;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -27,6 +29,7 @@
             version,
             code,
         } = self;
-        write!(f, "fault {kind} {name} v{version}: {code}")
+        let revision = Place::from(*version).revision();
+        write!(f, "fault {kind} {name} v{revision}: {code}")
     }
 }
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -8,6 +8,7 @@
 //! - `error`: validation errors.
 //! - `fault`: faults of objects that are not applied, or only in part.
 //! - `key`: dense table keys of services, backend servers, failure domains and pools.
+//! - `place`: the order of changes in a store that may be restored from an older copy.
 //! - `store`: replicated state of versioned objects; the higher version wins, deletions included.
 //! - `spec`: JSON fields of each kind.
 //! - `table`: the configuration in force, validated across objects and indexed for the balancer.
@@ -17,6 +18,7 @@
 pub mod key;
 pub mod label;
 pub mod object;
+pub mod place;
 pub mod raw;
 pub mod routing;
 mod spec;
--- a/crates/conf/src/raw.rs
+++ b/crates/conf/src/raw.rs
@@ -15,7 +15,7 @@
     /// Assigned by the platform at creation and never reused. 0 requests a new object.
     #[serde(default)]
     pub uid: u32,
-    /// Platform revision of the last change of this object.
+    /// Platform revision of the last change of this object, as the number of its `place::Place`.
     #[serde(default)]
     pub version: u64,
     /// Number of changes of `spec`, starting at 1.
--- a/crates/conf/src/store.rs
+++ b/crates/conf/src/store.rs
@@ -1,5 +1,8 @@
 //! Replicated store of versioned objects: per object the higher version wins, deletions included.
 //!
+//! Versions and revisions are the numbers of places (`place::Place`), so that a change of a later era
+//! of the platform's store wins over all changes of the earlier ones.
+//!
 //! Invariants: stores that received the same changes converge, whatever the order, the repetitions
 //! and the losses that were repaired later; and an object in force never reverts to an older
 //! version.
@@ -14,6 +17,7 @@
 use crate::object;
 use crate::object::Kind;
 use crate::object::Object;
+use crate::place::Place;
 use crate::raw;
 
 /// Maximum number of tombstones that are kept.
@@ -447,8 +451,10 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{} objects, r{} to r{}",
-            self.objects, self.from, self.to
+            "{} objects, {} to {}",
+            self.objects,
+            Place::from(self.from),
+            Place::from(self.to)
         )?;
         f.write_str(if self.has_gap { ", gap" } else { "" })
     }
@@ -478,8 +484,9 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "store r{} deltas from r{}",
-            self.revision, self.oldest_delta_revision
+            "store {} deltas from {}",
+            Place::from(self.revision),
+            Place::from(self.oldest_delta_revision)
         )?;
         for (id, entry) in &self.entries {
             writeln!(f, "{id} {entry}")?;
--- a/crates/conf/tests/all/main.rs
+++ b/crates/conf/tests/all/main.rs
@@ -3,5 +3,6 @@
 mod label;
 mod make;
 mod object;
+mod place;
 mod store;
 mod table;
--- a/crates/forward/src/dump.rs
+++ b/crates/forward/src/dump.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use conf::key;
+use conf::place::Place;
 
 use crate::demand::Rate;
 use crate::state::Forwarder;
@@ -24,11 +25,11 @@
         if let Some(since) = self.stopping_since {
             writeln!(f, "stopping since {since}")?;
         }
-        let routing = self.table.routing_version();
-        writeln!(f, "routing r{routing}: {} routes", self.table.route_count())?;
+        let routing = Place::from(self.table.routing_version());
+        writeln!(f, "routing {routing}: {} routes", self.table.route_count())?;
         for feed in self.feeds.iter() {
-            let (kind, revision) = (feed.kind(), feed.store().revision());
-            write!(f, "{kind} r{revision}, ")?;
+            let (kind, place) = (feed.kind(), Place::from(feed.store().revision()));
+            write!(f, "{kind} {place}, ")?;
             match feed.age(self.now) {
                 Some(age) => writeln!(f, "confirmed {age} ago")?,
                 None => writeln!(f, "not known")?,
--- a/crates/forward/src/established.rs
+++ b/crates/forward/src/established.rs
@@ -227,7 +227,7 @@
             moves,
             opened: now.since(opened_at),
             basis,
-            routing: state.table.routing_version(),
+            routing: state.table.routing_version().into(),
         }));
     }
 }
--- a/crates/forward/src/note.rs
+++ b/crates/forward/src/note.rs
@@ -4,6 +4,7 @@
 
 use base::prelude::*;
 use conf::object::Kind;
+use conf::place::Place;
 
 use crate::admission;
 use crate::flow::Basis;
@@ -26,8 +27,8 @@
         opened: Span,
         /// The data behind the selection of the server.
         basis: Basis,
-        /// Revision of the routing in force.
-        routing: u64,
+        /// Place of the routing in force.
+        routing: Place,
     },
     /// An opening packet was answered with a reset.
     Refused {
@@ -35,8 +36,8 @@
         flow: Id,
         /// The reason.
         code: Code,
-        /// Revision of the routing in force.
-        routing: u64,
+        /// Place of the routing in force.
+        routing: Place,
         /// Staleness of the backend servers; `None` before their first listing.
         age: Option<Span>,
     },
@@ -79,8 +80,8 @@
         flow: Id,
         /// The server that it was assigned to.
         from: String,
-        /// Revision of the routing in force.
-        routing: u64,
+        /// Place of the routing in force.
+        routing: Place,
     },
     /// A flow expired without an answer, or idle without an end by the caller.
     Expired {
@@ -169,10 +170,10 @@
     Applied {
         /// The kind of objects.
         kind: Kind,
-        /// The revision that was in force before.
-        from: u64,
-        /// The revision that is in force now.
-        upto: u64,
+        /// The place that was in force before.
+        from: Place,
+        /// The place that is in force now.
+        upto: Place,
         /// The number of objects that changed.
         changes: usize,
         /// The number of objects whose latest version is invalid and not in force. The dump lists
@@ -185,10 +186,10 @@
     StaleListing {
         /// The kind of objects.
         kind: Kind,
-        /// The revision in force.
-        have: u64,
-        /// The revision of the listing.
-        got: u64,
+        /// The place in force.
+        have: Place,
+        /// The place of the listing.
+        got: Place,
     },
     /// A read failed, and the one before it did not.
     ReadFailing {
@@ -246,8 +247,8 @@
     Ready {
         /// Whether it is ready.
         is_ready: bool,
-        /// Revision of the routing in force.
-        routing: u64,
+        /// Place of the routing in force.
+        routing: Place,
         /// The number of backend servers.
         servers: usize,
     },
@@ -341,11 +342,11 @@
             Note::Lapsed { server, .. } => {
                 write!(f, "{server} takes no new flows: its entry lapsed")
             }
-            Note::Applied { kind, upto, .. } => write!(f, "{kind} r{upto} in force"),
+            Note::Applied { kind, upto, .. } => write!(f, "{kind} {upto} in force"),
             Note::StaleListing { kind, have, got } => {
                 write!(
                     f,
-                    "stale listing of {kind} ignored: r{got}, r{have} is in force"
+                    "stale listing of {kind} ignored: {got}, {have} is in force"
                 )
             }
             Note::ReadFailing { kind, why, .. } => write!(f, "{kind} cannot be read: {why}"),
--- a/crates/forward/src/opening.rs
+++ b/crates/forward/src/opening.rs
@@ -288,7 +288,7 @@
     out.push(Effect::Note(Note::Rerouted {
         flow: id,
         from: state.table.server(from).name.clone(),
-        routing: state.table.routing_version(),
+        routing: state.table.routing_version().into(),
     }));
     state.remove_flow(id);
     assign_server(state, id, head, false, out)
@@ -413,7 +413,7 @@
     out.push(Effect::Note(Note::Refused {
         flow: id,
         code,
-        routing: state.table.routing_version(),
+        routing: state.table.routing_version().into(),
         age: state.feeds.age(conf::object::Kind::Server, state.now),
     }));
     Verdict::Reset(code)
--- a/crates/forward/src/table/row.rs
+++ b/crates/forward/src/table/row.rs
@@ -5,6 +5,7 @@
 
 use base::prelude::*;
 use conf::key;
+use conf::place::Place;
 
 use crate::cold::Tenure;
 use crate::flow::Flow;
@@ -130,7 +131,10 @@
         write!(
             f,
             " v{} open {} busy {} {}: ",
-            self.version, self.open_flows, self.requests, self.health
+            Place::from(self.version).revision(),
+            self.open_flows,
+            self.requests,
+            self.health
         )?;
         match self.status {
             Status::Ready => f.write_str("ready"),
--- a/crates/forward/src/tick.rs
+++ b/crates/forward/src/tick.rs
@@ -110,7 +110,7 @@
         state.backlog.begin(now);
         out.push(Effect::Note(Note::Ready {
             is_ready,
-            routing: state.table.routing_version(),
+            routing: state.table.routing_version().into(),
             servers: state.table.servers().count(),
         }));
     }
@@ -395,7 +395,7 @@
     let (have, failures) = (feed.store().revision(), feed.failures());
     let baseline = peer::Baseline::new(feed, objects.len());
     let Some(change) = feed.apply_answer(now, since, upto, objects) else {
-        let got = upto;
+        let (have, got) = (have.into(), upto.into());
         out.push(Effect::Note(Note::StaleListing { kind, have, got }));
         return;
     };
@@ -479,8 +479,8 @@
     if change.objects > 0 {
         out.push(Effect::Note(Note::Applied {
             kind,
-            from: change.from,
-            upto: change.to,
+            from: change.from.into(),
+            upto: change.to.into(),
             changes: change.objects,
             faults: feed.store().faults().len(),
             by,
--- a/crates/plat/src/http.rs
+++ b/crates/plat/src/http.rs
@@ -136,6 +136,19 @@
         &self,
         request: RequestBuilder,
     ) -> Result<T, Error> {
+        let (_, response) = self.send_read_with_headers(request).await?;
+        Ok(response)
+    }
+
+    /// Sends a read like `send_read`, and returns the headers of the response too.
+    ///
+    /// # Errors
+    ///
+    /// Those of `send_read`.
+    pub async fn send_read_with_headers<T: DeserializeOwned>(
+        &self,
+        request: RequestBuilder,
+    ) -> Result<(HeaderMap, T), Error> {
         let retry = request.try_clone();
         let response = match (request.send().await, retry) {
             (Err(error), Some(retry)) if !error.is_connect() && !error.is_timeout() => {
@@ -144,7 +157,9 @@
             (result, _) => result,
         };
         let response = check_status(response, Effect::None)?;
-        decode(&read_body(response, Effect::None).await?, Effect::None)
+        let headers = response.headers().clone();
+        let body = decode(&read_body(response, Effect::None).await?, Effect::None)?;
+        Ok((headers, body))
     }
 
     /// Sends a GET request to a server outside the platform, and returns the headers of its
--- a/crates/plat/src/response.rs
+++ b/crates/plat/src/response.rs
@@ -12,7 +12,7 @@
 /// Objects as of a revision, or the changes up to it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct List {
-    /// The revision of the platform.
+    /// The revision of the platform, as the number of its `conf::place::Place`.
     pub revision: u64,
     /// The objects; in the response to a watch, also tombstones.
     pub objects: Vec<raw::Object>,
--- a/crates/shell/src/packets/source.rs
+++ b/crates/shell/src/packets/source.rs
@@ -13,6 +13,7 @@
 use base::prelude::*;
 use conf::key;
 use conf::object::Kind;
+use conf::place::Place;
 use forward::check::Outcome;
 use forward::event::Event;
 use plat::response::Unreadable;
@@ -174,9 +175,9 @@
     tracing::debug!(
         event = "platform-read",
         kind = kind.name(),
-        since,
+        since = %Place::from(since),
         wait_ms = wait.as_millis(),
-        upto = result.as_ref().map_or(0, |list| list.revision),
+        upto = %Place::from(result.as_ref().map_or(0, |list| list.revision)),
         is_ok = result.is_ok(),
     );
     match result {
@@ -187,7 +188,7 @@
                     code = %Code::Unreadable,
                     kind = kind.name(),
                     name = unread.name,
-                    version = unread.version,
+                    version = Place::from(unread.version).revision(),
                     why = unread.reason,
                 );
             }
--- a/crates/shell/src/packets/trace.rs
+++ b/crates/shell/src/packets/trace.rs
@@ -86,7 +86,8 @@
             candidates = basis.candidates,
             open = basis.open,
             loads_age_ms = basis.age.as_millis(),
-            routing,
+            routing = routing.revision(),
+            era = routing.era(),
         ),
         Note::Refused {
             flow,
@@ -98,7 +99,8 @@
             caller = %flow.caller,
             service = %flow.service,
             code = %code,
-            routing,
+            routing = routing.revision(),
+            era = routing.era(),
             servers_age_ms = age.map(Span::as_millis),
         ),
         Note::Admission {
@@ -151,7 +153,8 @@
             caller = %flow.caller,
             service = %flow.service,
             from,
-            routing,
+            routing = routing.revision(),
+            era = routing.era(),
         ),
         Note::Expired {
             flow,
@@ -228,14 +231,22 @@
         } => tracing::info!(
             event = "objects-applied",
             kind = kind.name(),
-            from,
-            upto,
+            from = from.revision(),
+            upto = upto.revision(),
+            era = upto.era(),
             changes,
             faults,
             by = by.map_or_else(|| "platform".to_owned(), |by| by.to_string()),
         ),
         Note::StaleListing { kind, have, got } => {
-            tracing::warn!(event = "listing-stale", kind = kind.name(), have, got);
+            tracing::warn!(
+                event = "listing-stale",
+                kind = kind.name(),
+                have = have.revision(),
+                have_era = have.era(),
+                got = got.revision(),
+                got_era = got.era(),
+            );
         }
         Note::ReadFailing { kind, why, age } => tracing::warn!(
             event = "platform-lost",
@@ -277,7 +288,13 @@
             is_ready,
             routing,
             servers,
-        } => tracing::info!(event = "ready", is_ready, routing, servers),
+        } => tracing::info!(
+            event = "ready",
+            is_ready,
+            routing = routing.revision(),
+            era = routing.era(),
+            servers,
+        ),
         Note::Stopping { flows } => tracing::info!(event = "stopping", flows),
         Note::Reloaded => tracing::info!(event = "reloaded"),
         Note::HostFull {
