--- a/crates/conf/src/place.rs
+++ b/crates/conf/src/place.rs
@@ -37,6 +37,14 @@
         self.era
     }
 
+    /// Returns the first place of the era.
+    pub fn era_start(self) -> Place {
+        Place {
+            revision: 1,
+            ..self
+        }
+    }
+
     /// Returns the revision within the era.
     pub fn revision(self) -> u64 {
         self.revision
--- a/crates/conf/src/store.rs
+++ b/crates/conf/src/store.rs
@@ -60,8 +60,8 @@
     pub from: u64,
     /// Revision in force after the call.
     pub to: u64,
-    /// Whether the delta starts after `from`: the changes in between are missing and must be
-    /// requested.
+    /// Whether the delta starts after `from` or in a later era: the changes in between are missing and
+    /// must be requested.
     pub has_gap: bool,
 }
 
@@ -117,14 +117,16 @@
     /// a listing of all objects as of `upto`.
     ///
     /// A listing older than the revision in force changes nothing. Otherwise it also deletes the
-    /// objects that it does not contain.
+    /// objects that it does not contain. Only a listing completes the state of a new era: the changes
+    /// of a delta count as incomplete if the revision in force is of another era.
     pub fn apply(&mut self, objects: &[raw::Object], since: u64, upto: u64) -> Change {
         let full = since == 0;
         let from = self.revision;
+        let is_same_era = Place::from(from).era() == Place::from(upto).era();
         let mut change = Change {
             from,
             to: from,
-            has_gap: since > from,
+            has_gap: !full && (since > from || !is_same_era && upto > from),
             ..Change::default()
         };
         if full && upto < from {
--- a/crates/conf/tests/all/main.rs
+++ b/crates/conf/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the configuration crate.
 
+mod era;
 mod label;
 mod make;
 mod object;
--- a/crates/conf/tests/all/store.rs
+++ b/crates/conf/tests/all/store.rs
@@ -14,15 +14,15 @@
 use crate::make;
 
 /// A model of the platform that keeps the history of all changes.
-#[derive(Default)]
-struct Platform {
+#[derive(Clone, Default)]
+pub(crate) struct Platform {
     /// Every change in order; version n is at index n - 1.
     history: Vec<Object>,
 }
 
 /// A change on the platform. The number selects the failure domain that it changes.
 #[derive(Clone, Copy, Debug)]
-enum Op {
+pub(crate) enum Op {
     Put(u8),
     /// Writes a version that fails validation.
     PutBad(u8),
@@ -41,7 +41,7 @@
 }
 
 impl Platform {
-    fn new(ops: &[Op]) -> Platform {
+    pub(crate) fn new(ops: &[Op]) -> Platform {
         let mut platform = Platform::default();
         // Deltas start at revision 1 or later, so the platform must have that revision.
         platform.run(Op::Report);
@@ -49,11 +49,11 @@
         platform
     }
 
-    fn revision(&self) -> u64 {
+    pub(crate) fn revision(&self) -> u64 {
         self.history.len() as u64
     }
 
-    fn run(&mut self, op: Op) {
+    pub(crate) fn run(&mut self, op: Op) {
         let version = self.revision() + 1;
         let object = match op {
             Op::Put(n) => make::domain(&format!("d{n}"), 0, ""),
@@ -78,7 +78,7 @@
     }
 
     /// Returns the latest version, as of `upto`, of all objects that changed after `since`.
-    fn changed(&self, since: u64, upto: u64) -> Vec<Object> {
+    pub(crate) fn changed(&self, since: u64, upto: u64) -> Vec<Object> {
         let mut newest = BTreeMap::new();
         for object in &self.history[..upto as usize] {
             newest.insert((&object.kind, &object.name), object);
@@ -87,13 +87,19 @@
         found.cloned().collect()
     }
 
-    fn listing(&self, upto: u64) -> Vec<Object> {
+    pub(crate) fn listing(&self, upto: u64) -> Vec<Object> {
         let mut found = self.changed(0, upto);
         found.retain(|object| !object.deleted);
         found
     }
 
-    fn revision_at(&self, share: f64) -> u64 {
+    /// Undoes the last changes, as a restore from an older copy does.
+    pub(crate) fn undo(&mut self, changes: usize) {
+        let kept = self.history.len().saturating_sub(changes).max(1);
+        self.history.truncate(kept);
+    }
+
+    pub(crate) fn revision_at(&self, share: f64) -> u64 {
         (self.history.len() as f64 * share) as u64
     }
 
@@ -127,7 +133,7 @@
     }
 }
 
-fn ops() -> impl Strategy<Value = Vec<Op>> {
+pub(crate) fn ops() -> impl Strategy<Value = Vec<Op>> {
     let op = prop_oneof![
         4 => (0..4u8).prop_map(Op::Put),
         2 => (0..4u8).prop_map(Op::PutBad),
@@ -146,7 +152,7 @@
     prop::collection::vec(delivery, 0..30)
 }
 
-fn in_force(store: &Store) -> BTreeMap<String, u64> {
+pub(crate) fn in_force(store: &Store) -> BTreeMap<String, u64> {
     let pair = |object: &conf::object::Object| (object.meta.name.clone(), object.meta.version);
     store.objects().map(pair).collect()
 }
--- a/crates/forward/src/count.rs
+++ b/crates/forward/src/count.rs
@@ -49,6 +49,8 @@
     Reads,
     /// Reads that failed.
     ReadFailures,
+    /// Answers of the platform that were ignored because they are older than the local state.
+    StaleAnswers,
     /// Checks of suspected servers.
     Checks,
     /// Flows assigned to a server of the failure domain to which they spill.
--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -7,9 +7,14 @@
 //! A watch may fail silently: no change arrives although objects change. The watch of one kind
 //! therefore serves as a heartbeat and is renewed every second or so. Each answer shows the
 //! revision of the whole store; a feed that does not reach that revision in time is read again.
+//!
+//! A store that was restored from an older copy is in a new era (`conf::place`). The changes before
+//! an answer of that era are unknown, whatever revision the read started from, so each feed lists its
+//! kind again. Answers and updates of an earlier era are ignored.
 
 use base::prelude::*;
 use conf::object::Kind;
+use conf::place::Place;
 use conf::raw;
 use conf::store::Change;
 use conf::store::Store;
@@ -130,6 +135,18 @@
     pub wait: Span,
 }
 
+/// The outcome of an answer of the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// It was applied.
+    Applied(Change),
+    /// It is older than the local state, and was ignored.
+    Stale,
+    /// It shows that the store was restored after the place from which the read started. The kind is
+    /// listed next.
+    Restored,
+}
+
 impl Feed {
     fn new(kind: Kind) -> Feed {
         Feed {
@@ -161,6 +178,17 @@
         &self.store
     }
 
+    /// Returns the era of the store in which the local state was read.
+    fn era(&self) -> u16 {
+        Place::from(self.store.revision()).era()
+    }
+
+    /// Requests a listing, even while a watch is in flight or updates of peers arrive.
+    fn require_listing(&mut self) {
+        self.needs_listing = true;
+        self.needs_read = true;
+    }
+
     /// Returns whether a complete state of some revision has been received.
     pub fn is_synced(&self) -> bool {
         self.confirmed_at.is_some()
@@ -234,20 +262,25 @@
         })
     }
 
-    /// Applies an answer of the platform. Returns `None` for a listing that is older than the local
-    /// state.
+    /// Applies an answer of the platform to a read after `since`.
     pub fn apply_answer(
         &mut self,
         now: Time,
         since: u64,
         upto: u64,
         objects: &[raw::Object],
-    ) -> Option<Change> {
+    ) -> Answer {
         let is_listing = since == 0;
-        if is_listing && upto < self.store.revision() {
-            // The answer comes from a stale replica of the platform.
+        let era = Place::from(upto).era();
+        if is_listing && upto < self.store.revision() || era < self.era() {
+            // The answer comes from a stale replica of the platform, or was sent before a restore.
             self.read_state = ReadState::Idle(now + DEBOUNCE);
-            return None;
+            return Answer::Stale;
+        }
+        if !is_listing && era != Place::from(since).era() {
+            self.require_listing();
+            self.read_state = ReadState::Idle(now);
+            return Answer::Restored;
         }
         let change = self.store.apply(objects, since, upto);
         if !self.is_synced() {
@@ -264,7 +297,7 @@
             true => now,
             false => now + DEBOUNCE,
         });
-        Some(change)
+        Answer::Applied(change)
     }
 
     /// Records a failed read. `jitter` from 0 to 99 spreads the backoff.
@@ -363,6 +396,8 @@
     pub fn record_gap(&mut self, now: Time, upto: u64) -> bool {
         let is_new = self.gap_since.is_none();
         self.gap_since.get_or_insert(now);
+        // No read that starts from an earlier era shows what is missing.
+        self.needs_listing |= Place::from(upto).era() > self.era();
         self.gap_revision = self.gap_revision.max(upto);
         is_new
     }
@@ -372,11 +407,18 @@
         self.gap_since.is_some()
     }
 
-    /// Marks this feed as behind if the platform's store has reached a later revision.
+    /// Marks this feed as behind if the platform's store has reached a later revision. The heartbeat
+    /// feed is not marked within an era: its watch ends within `HEARTBEAT_WAIT` in any case.
     fn mark_behind(&mut self, now: Time, revision: u64) {
         if revision <= self.store.revision() {
             return;
         }
+        if self.is_synced() && Place::from(revision).era() > self.era() {
+            return self.require_listing();
+        }
+        if self.kind == HEARTBEAT_KIND {
+            return;
+        }
         let since = self.behind.map_or(now, |(_, since)| since);
         self.behind = Some((revision, since));
     }
@@ -396,7 +438,10 @@
     /// Returns the revision of the kind's last change and the revision up to which there is no
     /// later one. A replica at the former is complete up to the latter.
     pub fn watermark(&self) -> (u64, u64) {
-        // A delta from 0 is applied as a listing, and an empty listing deletes all objects.
-        (self.store.newest_version().max(1), self.store.revision())
+        // A delta from 0 is applied as a listing, and an empty listing deletes all objects. A replica
+        // of an earlier era is not complete, even if no object has changed in this one.
+        let start = Place::from(self.store.revision()).era_start().into();
+        let last_change = self.store.newest_version().max(start);
+        (last_change, self.store.revision())
     }
 }
--- a/crates/forward/src/feed/set.rs
+++ b/crates/forward/src/feed/set.rs
@@ -88,19 +88,14 @@
     }
 
     /// Marks the feeds that are behind the revision that an answer showed, and confirms those that
-    /// have reached it. The heartbeat feed is not marked: its watch ends within `HEARTBEAT_WAIT` in
-    /// any case.
+    /// have reached it.
     pub fn expect_revision(&mut self, now: Time, revision: u64) {
         for feed in &mut self.feeds {
             if feed.is_synced() && feed.store.revision() >= revision {
                 feed.confirmed_at = Some(now);
             }
         }
-        for feed in self
-            .feeds
-            .iter_mut()
-            .filter(|feed| feed.kind != HEARTBEAT_KIND)
-        {
+        for feed in &mut self.feeds {
             feed.mark_behind(now, revision);
         }
     }
--- a/crates/forward/src/note.rs
+++ b/crates/forward/src/note.rs
@@ -182,13 +182,25 @@
         /// The peer that published them; `None` for the platform.
         by: Option<Incarnation>,
     },
-    /// A listing older than the local state was ignored.
-    StaleListing {
+    /// The first objects of a new era of the platform's store, which was restored from an older copy,
+    /// were put in force.
+    Restored {
+        /// The kind of objects.
+        kind: Kind,
+        /// The place that was in force before.
+        from: Place,
+        /// The place that is in force now.
+        upto: Place,
+        /// The peer that published them; `None` for the platform.
+        by: Option<Incarnation>,
+    },
+    /// An answer of the platform that is older than the local state was ignored.
+    StaleAnswer {
         /// The kind of objects.
         kind: Kind,
         /// The place in force.
         have: Place,
-        /// The place of the listing.
+        /// The place of the answer.
         got: Place,
     },
     /// A read failed, and the one before it did not.
@@ -343,10 +355,13 @@
                 write!(f, "{server} takes no new flows: its entry lapsed")
             }
             Note::Applied { kind, upto, .. } => write!(f, "{kind} {upto} in force"),
-            Note::StaleListing { kind, have, got } => {
+            Note::Restored {
+                kind, from, upto, ..
+            } => write!(f, "{kind} {from} replaced by {upto} of a restored store"),
+            Note::StaleAnswer { kind, have, got } => {
                 write!(
                     f,
-                    "stale listing of {kind} ignored: {got}, {have} is in force"
+                    "stale answer about {kind} ignored: {got}, {have} is in force"
                 )
             }
             Note::ReadFailing { kind, why, .. } => write!(f, "{kind} cannot be read: {why}"),
--- a/crates/forward/src/tick.rs
+++ b/crates/forward/src/tick.rs
@@ -5,6 +5,7 @@
 use base::prelude::*;
 use conf::object::Body;
 use conf::object::Kind;
+use conf::place::Place;
 use conf::raw;
 use conf::store::Change;
 
@@ -12,6 +13,7 @@
 use crate::count;
 use crate::effect::Effect;
 use crate::feed;
+use crate::feed::Answer;
 use crate::feed::Feed;
 use crate::flow::Expired;
 use crate::flow::Flow;
@@ -54,7 +56,9 @@
 /// The times at which periodic work is due.
 #[derive(Clone, Debug)]
 pub(crate) struct Timers {
+    /// Whether the platform may have an announcement of this balancer.
     pub(crate) is_announced: bool,
+    needs_announcement: bool,
     membership: Time,
     watermark: Time,
     /// When the last load report was sent.
@@ -68,6 +72,7 @@
     pub(crate) fn new(now: Time) -> Timers {
         Timers {
             is_announced: false,
+            needs_announcement: true,
             membership: now,
             watermark: now,
             report: now,
@@ -76,6 +81,14 @@
             discovery: now + DISCOVERY_DELAY,
         }
     }
+
+    /// Announces this balancer once more if it has been announced.
+    fn repeat_announcement(&mut self, now: Time) {
+        if self.is_announced {
+            self.needs_announcement = true;
+            self.announcement = now + ANNOUNCE_DELAY;
+        }
+    }
 }
 
 /// Runs the periodic work that is due.
@@ -135,7 +148,8 @@
 fn announce(state: &mut Forwarder, out: &mut Vec<Effect>) {
     if state.role.tier == Tier::Follower {
         state.timers.announcement = state.now + ANNOUNCE_DELAY;
-    } else if !state.timers.is_announced && state.now >= state.timers.announcement {
+    } else if state.timers.needs_announcement && state.now >= state.timers.announcement {
+        state.timers.needs_announcement = false;
         state.timers.is_announced = true;
         out.push(Effect::Announce);
     }
@@ -388,16 +402,25 @@
     out: &mut Vec<Effect>,
 ) {
     let now = state.now;
+    let jitter = backoff_jitter(state);
     state.reach.record_answer();
     let Some(feed) = state.feeds.get_mut(kind) else {
         return;
     };
     let (have, failures) = (feed.store().revision(), feed.failures());
     let baseline = peer::Baseline::new(feed, objects.len());
-    let Some(change) = feed.apply_answer(now, since, upto, objects) else {
-        let (have, got) = (have.into(), upto.into());
-        out.push(Effect::Note(Note::StaleListing { kind, have, got }));
-        return;
+    let change = match feed.apply_answer(now, since, upto, objects) {
+        Answer::Applied(change) => change,
+        Answer::Stale => {
+            let (have, got) = (Place::from(have), Place::from(upto));
+            if got.era() < have.era() {
+                // Such answers may go on, which is as bad as none.
+                feed.record_failure(now, false, jitter);
+            }
+            state.counts.add(count::Kind::StaleAnswers);
+            return out.push(Effect::Note(Note::StaleAnswer { kind, have, got }));
+        }
+        Answer::Restored => return state.feeds.expect_revision(now, upto),
     };
     state.feeds.expect_revision(now, upto);
     if failures > 0 {
@@ -410,6 +433,11 @@
     transfer::answer_waiting(state, out);
 }
 
+/// Returns the number from 0 to 99 that spreads the backoff of failed reads.
+fn backoff_jitter(state: &Forwarder) -> u64 {
+    base::hash::pair(state.incarnation().0, state.now.0) % 100
+}
+
 /// Handles a failed read.
 pub(crate) fn handle_read_failure(
     state: &mut Forwarder,
@@ -425,7 +453,7 @@
         true => state.reach.record_answer(),
         false => state.reach.record_loss(now),
     }
-    let jitter = base::hash::pair(state.incarnation().0, now.0) % 100;
+    let jitter = backoff_jitter(state);
     let Some(feed) = state.feeds.get_mut(kind) else {
         return;
     };
@@ -452,6 +480,17 @@
     let Some(feed) = state.feeds.get(kind) else {
         return;
     };
+    let (from, upto) = (Place::from(change.from), Place::from(change.to));
+    if change.from > 0 && from.era() < upto.era() {
+        // The copy from which the store was restored may be older than this balancer's announcement.
+        state.timers.repeat_announcement(now);
+        out.push(Effect::Note(Note::Restored {
+            kind,
+            from,
+            upto,
+            by,
+        }));
+    }
     // Without changes there is nothing to put in force. The objects are applied nevertheless until
     // the balancer is ready, and while the feed is empty.
     if change.objects == 0 && feed.store().objects().next().is_some() && state.was_ready {
@@ -479,8 +518,8 @@
     if change.objects > 0 {
         out.push(Effect::Note(Note::Applied {
             kind,
-            from: change.from.into(),
-            upto: change.to.into(),
+            from,
+            upto,
             changes: change.objects,
             faults: feed.store().faults().len(),
             by,
--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -20,6 +20,7 @@
 mod promise;
 mod ready;
 mod replication;
+mod restore;
 mod sim;
 mod snapshot;
 mod speed;
--- a/crates/forward/tests/all/sim/mod.rs
+++ b/crates/forward/tests/all/sim/mod.rs
@@ -7,6 +7,7 @@
 mod caller;
 mod driver;
 mod link;
+mod restore;
 mod server;
 mod store;
 
--- a/crates/forward/tests/all/sim/store.rs
+++ b/crates/forward/tests/all/sim/store.rs
@@ -10,10 +10,12 @@
 use conf::object::Meta;
 use conf::object::Object;
 use conf::object::State;
+use conf::place::Place;
 use conf::raw;
 use forward::prelude::*;
 
 use super::domain_name;
+use super::restore;
 use super::Simulation;
 use super::Status;
 use super::Task;
@@ -26,15 +28,19 @@
 const READ_TIMEOUT: Span = Span::millis(600);
 
 /// The state of the store.
+///
+/// Objects have bare revisions; balancers receive the places in the current era.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Store {
+    /// Rises with each restore from an older copy.
+    pub(crate) era: u64,
     pub(crate) revision: u64,
-    objects: BTreeMap<(Kind, String), raw::Object>,
+    pub(super) objects: BTreeMap<(Kind, String), raw::Object>,
     /// The changes that reads can deliver, including tombstones.
-    history: Vec<raw::Object>,
+    pub(super) history: Vec<raw::Object>,
     /// The revision up to which the history of changes is lost.
     pub(crate) history_floor: u64,
-    watches: Vec<Watch>,
+    pub(super) watches: Vec<Watch>,
     /// Until when all reads and discoveries fail.
     pub(crate) down_until: Time,
     /// Until when watches deliver no changes.
@@ -89,6 +95,25 @@
     ExpireEntry(usize),
     /// Restarts a crashed server, which writes its entry.
     RestartServer(usize),
+    /// Repeats a change that a restore has undone.
+    Repeat(restore::Lost),
+}
+
+impl Store {
+    /// Returns the place of a revision in the current era.
+    pub(crate) fn place(&self, revision: u64) -> u64 {
+        let place = Place::new(self.era, revision);
+        place.expect("the revision is in range").into()
+    }
+
+    /// Returns objects with their places as versions.
+    fn with_places(&self, objects: impl Iterator<Item = raw::Object>) -> Vec<raw::Object> {
+        let with_place = |object: raw::Object| raw::Object {
+            version: self.place(object.version),
+            ..object
+        };
+        objects.map(with_place).collect()
+    }
 }
 
 impl Simulation {
@@ -168,21 +193,26 @@
             }
             Write::ExpireEntry(_) => (),
             Write::RestartServer(server) => self.restart_cold(server),
+            Write::Repeat(lost) => self.repeat_change(lost),
         }
     }
 
     fn put_object(&mut self, name: String, labels: BTreeMap<String, String>, body: Body) {
-        self.store.revision += 1;
         let meta = Meta {
             name: name.clone(),
             uid: 1,
-            version: self.store.revision,
+            version: 0,
             generation: 0,
             labels,
         };
         let object = Object { meta, body };
-        let raw = raw::Object::from(&object);
-        let key = (object.kind(), name);
+        self.put_raw((object.kind(), name), raw::Object::from(&object));
+    }
+
+    /// Writes an object at the next revision.
+    pub(super) fn put_raw(&mut self, key: (Kind, String), mut raw: raw::Object) {
+        self.store.revision += 1;
+        raw.version = self.store.revision;
         self.store.objects.insert(key, raw.clone());
         self.record_change(raw);
     }
@@ -218,15 +248,20 @@
     }
 
     fn changes_for(&self, watch: &Watch) -> Vec<raw::Object> {
+        let since = Place::from(watch.since).revision();
         let history = self.store.history.iter();
-        history
-            .filter(|raw| raw.version > watch.since && raw.kind == watch.kind.name())
-            .cloned()
-            .collect()
+        let changes = history.filter(|raw| raw.version > since && raw.kind == watch.kind.name());
+        self.store.with_places(changes.cloned())
+    }
+
+    /// Returns whether a watch starts before the known history, or after the last revision.
+    fn is_history_gone(&self, watch: &Watch) -> bool {
+        let since = Place::from(watch.since).revision();
+        since < self.store.history_floor || since > self.store.revision
     }
 
     fn answer_watch(&mut self, watch: &Watch) {
-        let event = match watch.since < self.store.history_floor {
+        let event = match self.is_history_gone(watch) {
             true => Event::ReadFailed {
                 kind: watch.kind,
                 is_history_gone: true,
@@ -235,7 +270,7 @@
             false => Event::Objects {
                 kind: watch.kind,
                 since: watch.since,
-                upto: self.store.revision,
+                upto: self.store.place(self.store.revision),
                 objects: self.changes_for(watch),
             },
         };
@@ -316,7 +351,7 @@
             let event = Event::Objects {
                 kind,
                 since,
-                upto: self.store.revision,
+                upto: self.store.place(self.store.revision),
                 objects: self.objects_of(kind),
             };
             let listed = match &event {
@@ -326,7 +361,7 @@
             let wait = Span(READ_LATENCY.0 + self.listing_time(balancer, listed).0);
             return self.schedule_result(&watch, event, wait);
         }
-        let is_answered = since < self.store.history_floor || !self.changes_for(&watch).is_empty();
+        let is_answered = self.is_history_gone(&watch) || !self.changes_for(&watch).is_empty();
         // A stalled watch does not deliver earlier changes either.
         let is_stalled = self.now < self.store.watches_stalled_until;
         if wait == Span::ZERO || is_answered && !is_stalled {
@@ -338,10 +373,26 @@
 
     fn objects_of(&self, kind: Kind) -> Vec<raw::Object> {
         let objects = self.store.objects.iter();
-        objects
-            .filter(|((other, _), _)| *other == kind)
-            .map(|(_, raw)| raw.clone())
-            .collect()
+        let objects = objects.filter(|((other, _), _)| *other == kind);
+        self.store.with_places(objects.map(|(_, raw)| raw.clone()))
+    }
+
+    /// Returns the place of the last change of an object, if it exists.
+    pub(crate) fn written_at(&self, kind: Kind, name: &str) -> Option<u64> {
+        let object = self.store.objects.get(&(kind, name.to_owned()))?;
+        Some(self.store.place(object.version))
+    }
+
+    /// Ends all watches without an answer.
+    pub(super) fn close_watches(&mut self) {
+        for watch in std::mem::take(&mut self.store.watches) {
+            let event = Event::ReadFailed {
+                kind: watch.kind,
+                is_history_gone: false,
+                why: "connection closed".into(),
+            };
+            self.schedule_result(&watch, event, READ_LATENCY);
+        }
     }
 
     pub(super) fn expire_watch(&mut self, watch: &Watch) {
--- a/crates/shell/src/packets/trace.rs
+++ b/crates/shell/src/packets/trace.rs
@@ -236,11 +236,25 @@
             era = upto.era(),
             changes,
             faults,
-            by = by.map_or_else(|| "platform".to_owned(), |by| by.to_string()),
+            by = publisher(by),
         ),
-        Note::StaleListing { kind, have, got } => {
+        Note::Restored {
+            kind,
+            from,
+            upto,
+            by,
+        } => tracing::warn!(
+            event = "store-restored",
+            kind = kind.name(),
+            from = from.revision(),
+            from_era = from.era(),
+            upto = upto.revision(),
+            era = upto.era(),
+            by = publisher(by),
+        ),
+        Note::StaleAnswer { kind, have, got } => {
             tracing::warn!(
-                event = "listing-stale",
+                event = "answer-stale",
                 kind = kind.name(),
                 have = have.revision(),
                 have_era = have.era(),
@@ -335,6 +349,11 @@
     }
 }
 
+/// Returns the name of the source of objects in log lines.
+fn publisher(by: &Option<Incarnation>) -> String {
+    by.map_or_else(|| "platform".to_owned(), |by| by.to_string())
+}
+
 /// Returns whether the number of these lines depends on the load.
 fn is_flow_note(note: &Note) -> bool {
     matches!(
