--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -102,8 +102,9 @@
     remote_read_at: Option<Time>,
     /// Until when the role alone starts no read.
     quiet_until: Time,
-    /// When a peer last published an update that was not older than the local state.
-    last_peer_update: Option<Time>,
+    /// When the platform confirmed the newest state that a peer published, unless it was older than
+    /// the local state.
+    peer_state_at: Option<Time>,
     /// The highest revision that the platform's store is known to have reached, and since when this
     /// feed is behind it.
     behind: Option<(u64, Time)>,
@@ -163,7 +164,7 @@
             read_at: None,
             remote_read_at: None,
             quiet_until: Time::default(),
-            last_peer_update: None,
+            peer_state_at: None,
             behind: None,
         }
     }
@@ -210,10 +211,10 @@
         self.confirmed_at.map(|at| now.since(at))
     }
 
-    /// Returns whether peers' updates have arrived within the role's time-out.
-    pub fn has_recent_peer_update(&self, now: Time, role: Role) -> bool {
-        self.last_peer_update
-            .is_some_and(|at| now.since(at) < role.update_timeout())
+    /// Returns whether peers publish a state that is recent enough for a balancer of a role.
+    pub fn has_recent_peer_state(&self, now: Time, role: Role) -> bool {
+        self.peer_state_at
+            .is_some_and(|at| now.since(at) < role.peer_state_age_max())
     }
 
     /// Returns the read that is due, and marks it as in flight.
@@ -229,7 +230,7 @@
         self.needs_read |= self
             .gap_since
             .is_some_and(|since| has_elapsed(since, GAP_FILL_TIMEOUT));
-        let is_reader = role.tier == Tier::Reader || !self.has_recent_peer_update(now, role);
+        let is_reader = role.tier == Tier::Reader || !self.has_recent_peer_state(now, role);
         // `quiet_until` holds back only reads for the role, not those that are needed anyway.
         let is_needed = self.needs_read || is_reader && now >= self.quiet_until;
         let is_due = match self.read_state {
@@ -241,12 +242,15 @@
         if !is_due {
             return None;
         }
-        let is_immediate = self.needs_read || self.needs_listing;
+        // A balancer that begins to read for others confirms its state before it waits for changes.
+        let is_heartbeat = self.kind == HEARTBEAT_KIND;
+        let is_outdated = is_heartbeat && self.age(now).is_none_or(|age| age > HEARTBEAT_WAIT);
+        let is_immediate = self.needs_read || self.needs_listing || is_outdated;
         self.read_state = match is_immediate {
             true => ReadState::Fetching,
             false => ReadState::Watching,
         };
-        let wait = match (is_immediate, self.kind == HEARTBEAT_KIND) {
+        let wait = match (is_immediate, is_heartbeat) {
             (true, _) => Span::ZERO,
             (false, true) => HEARTBEAT_WAIT,
             (false, false) => WATCH_WAIT,
@@ -328,12 +332,12 @@
         if update.upto < current {
             return change;
         }
-        self.last_peer_update = Some(now);
+        let confirmed_at = Some(now - update.age);
+        self.peer_state_at = self.peer_state_at.max(confirmed_at);
         if change.has_gap {
             self.record_gap(now, update.upto);
         } else if self.store.revision() >= self.gap_revision {
             self.gap_since = None;
-            let confirmed_at = Some(now - update.age);
             if update.is_remote {
                 self.remote_read_at = self.remote_read_at.max(confirmed_at);
             }
@@ -371,7 +375,7 @@
             self.quiet_until = now + STARTUP_QUIET_PERIOD;
         }
         self.confirmed_at = self.confirmed_at.max(Some(now - update.age));
-        self.last_peer_update = Some(now);
+        self.peer_state_at = self.confirmed_at;
         self.needs_read = false;
         self.failures = 0;
         change
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -354,11 +354,11 @@
 }
 
 /// Publishes the watermark of each kind to this balancer's recipients, unless what it knows may be
-/// outdated.
-pub(crate) fn publish_watermarks(state: &mut Forwarder, out: &mut Vec<Effect>) {
+/// outdated. Returns whether it may have been published.
+pub(crate) fn publish_watermarks(state: &mut Forwarder, out: &mut Vec<Effect>) -> bool {
     let now = state.now;
     if !state.feeds.can_vouch(now, state.role) {
-        return;
+        return false;
     }
     let watermarks: Vec<Objects> = state
         .feeds
@@ -372,6 +372,7 @@
     if !watermarks.is_empty() {
         broadcast(state, watermarks, out);
     }
+    true
 }
 
 fn broadcast(state: &mut Forwarder, objects: Vec<Objects>, out: &mut Vec<Effect>) {
@@ -381,12 +382,12 @@
     }
 }
 
-/// Returns whether this balancer publishes updates: as reader or relay, or because no updates reach
-/// its domain.
+/// Returns whether this balancer publishes updates: as reader or relay, or because no recent state
+/// reaches its domain.
 pub(crate) fn is_publisher(state: &Forwarder) -> bool {
     let mut feeds = state.feeds.iter();
     state.role.tier != Tier::Follower
-        || feeds.any(|feed| !feed.has_recent_peer_update(state.now, state.role))
+        || feeds.any(|feed| !feed.has_recent_peer_state(state.now, state.role))
 }
 
 /// Returns the addresses that this balancer publishes to: none, its failure domain, or its domain
--- a/crates/forward/src/role.rs
+++ b/crates/forward/src/role.rs
@@ -2,9 +2,11 @@
 //!
 //! One balancer of the deployment, the reader, keeps the watches. It publishes updates to its own
 //! failure domain and to one balancer of each other domain, the relay, which forwards them to its
-//! domain. A balancer that receives no updates in time reads the platform itself and publishes the
-//! result to its domain. The time-outs of a domain's balancers are staggered by rank, so that a
-//! domain which is partitioned, or whose relay the platform refuses, costs the platform one reader.
+//! domain. A balancer whose peers publish no recent state reads the platform itself and publishes the
+//! result to its domain. What counts is when the platform confirmed that state, however many
+//! balancers have passed it on and however often. The age at which a domain's balancers read is
+//! staggered by rank, so that a domain which is partitioned, or whose relay the platform refuses,
+//! costs the platform one reader.
 
 use std::collections::BTreeMap;
 
@@ -12,19 +14,17 @@
 use member::Group;
 use strum::Display;
 
+use crate::feed::WATERMARK_AGE_MAX;
+
 /// The shortest period of watermarks, which state up to which revision a balancer is complete.
 pub const WATERMARK_PERIOD_MIN: Span = Span::millis(150);
 /// The time that each balancer of the largest domain adds to the watermark period, so that
 /// watermarks take at most half of the control bandwidth.
 pub const WATERMARK_PERIOD_PER_PEER: Span = Span::millis(5);
-/// The number of missed watermarks after which the first balancer of a domain reads the platform
-/// itself.
-const MISSED_WATERMARKS: u64 = 3;
-/// The number of further missed watermarks for each balancer of lower rank in the domain.
-const WATERMARKS_PER_RANK: u64 = 2;
-/// The rank from which the time-out no longer grows, since changes have to be in force within
-/// seconds.
-const RANK_MAX: u64 = 4;
+/// The rank from which the age at which a balancer reads no longer grows. With the time-out of one
+/// lost answer, a change is in force within 3 s on the last balancer of a domain of five, also if the
+/// platform refuses all others.
+const RANK_MAX: u64 = 3;
 
 /// A balancer's place in the distribution tree.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -77,10 +77,12 @@
         }
     }
 
-    /// Returns the time without updates after which a balancer reads the platform itself.
-    pub fn update_timeout(self) -> Span {
-        let watermarks = MISSED_WATERMARKS + WATERMARKS_PER_RANK * self.rank.min(RANK_MAX);
-        Span(self.watermark_period.0 * watermarks + WATERMARK_PERIOD_MIN.0)
+    /// Returns the age of the state that peers publish from which a balancer reads the platform
+    /// itself: that up to which the reader publishes it, one watermark period until it arrives, and
+    /// one for each balancer of the domain that reads before this one.
+    pub fn peer_state_age_max(self) -> Span {
+        let periods = 1 + self.rank.min(RANK_MAX);
+        Span(WATERMARK_AGE_MAX.0 + self.watermark_period.0 * periods)
     }
 }
 
--- a/crates/forward/src/tick.rs
+++ b/crates/forward/src/tick.rs
@@ -263,9 +263,10 @@
         state.timers.resync = now + RESYNC_PERIOD;
         peer::request_resync(state, out);
     }
-    if now >= state.timers.watermark && peer::is_publisher(state) {
+    // A balancer that begins to read publishes with the answer, before the next one reads too.
+    let is_due = now >= state.timers.watermark && peer::is_publisher(state);
+    if is_due && peer::publish_watermarks(state, out) {
         state.timers.watermark = now + role.watermark_period;
-        peer::publish_watermarks(state, out);
     }
 }
 
--- a/crates/forward/tests/all/replication.rs
+++ b/crates/forward/tests/all/replication.rs
@@ -220,3 +220,64 @@
 fn many_balancers_without_answers_receive_updates_from_others() {
     check_unanswered_balancers(27, |_, balancer| balancer % 2 == 0);
 }
+
+/// Lets servers drain while the store leaves some balancers without an answer, and asserts that each
+/// balancer that it answers has put that in force within the bound of 3 s.
+fn check_unanswered_drains(is_unanswered: impl Fn(&Simulation, usize) -> bool) {
+    // The drain comes at different times relative to the watches.
+    for phase in 0..15 {
+        let mut sim = Simulation::new(30, 3, 15, 18);
+        // The watches with which the balancers started have ended.
+        sim.run_for(Span::secs(15));
+        sim.run_for(Span::millis(50 * phase));
+        let all = 0..15;
+        let unanswered = all
+            .clone()
+            .filter(|&balancer| is_unanswered(&sim, balancer));
+        sim.store.unanswered_balancers = unanswered.collect();
+        sim.drain_server(0);
+        let version = sim.store.revision;
+        sim.run_for(Span::secs(3));
+        for balancer in all.filter(|balancer| !sim.store.unanswered_balancers.contains(balancer)) {
+            let mut rows = sim.reducer(balancer).table().servers();
+            let is_known = rows.any(|(_, row)| row.version == version);
+            assert!(is_known, "b{balancer}, phase {phase}");
+        }
+    }
+}
+
+/// Returns the balancers of a domain in the order in which they read for it.
+fn domain_order(sim: &Simulation, domain: usize) -> Vec<usize> {
+    let mut order = reader_order(sim);
+    order.retain(|&balancer| sim.balancers[balancer].domain == domain);
+    order
+}
+
+/// Regression (review/15): the last balancer of the reader's domain waited for the four before it,
+/// beginning only when the reader's watermarks ended, which were up to 1.5 s old by then.
+#[test]
+fn promise_08_the_last_balancer_of_the_readers_domain_reads_in_time() {
+    check_unanswered_drains(|sim, balancer| {
+        let domain = sim.balancers[reader_order(sim)[0]].domain;
+        domain_order(sim, domain)[..4].contains(&balancer)
+    });
+}
+
+/// The same in a domain that the state reaches over one hop more, through its relay.
+#[test]
+fn promise_08_the_last_balancer_of_a_relays_domain_reads_in_time() {
+    check_unanswered_drains(|sim, balancer| {
+        let reader = reader_order(sim)[0];
+        let domain = (sim.balancers[reader].domain + 1) % 3;
+        balancer == reader || domain_order(sim, domain)[..4].contains(&balancer)
+    });
+}
+
+/// The same in all domains: every fifth balancer is answered.
+#[test]
+fn promise_08_one_balancer_of_each_domain_reads_in_time() {
+    check_unanswered_drains(|sim, balancer| {
+        let domain = sim.balancers[balancer].domain;
+        domain_order(sim, domain)[..4].contains(&balancer)
+    });
+}
--- a/crates/forward/tests/all/restore.rs
+++ b/crates/forward/tests/all/restore.rs
@@ -132,7 +132,7 @@
     let mut feeds = feeds_at(place(2, 100));
     with_feed(&mut feeds, Kind::Server, |feed| {
         feed.apply_peer_update(NOW, &watermark(place(1, 410), place(1, 412)));
-        assert!(!feed.has_recent_peer_update(NOW, Role::default()));
+        assert!(!feed.has_recent_peer_state(NOW, Role::default()));
         assert_eq!(feed.store().revision(), place(2, 100));
     });
 }
--- a/crates/forward/tests/all/sim/store.rs
+++ b/crates/forward/tests/all/sim/store.rs
@@ -240,7 +240,8 @@
 
     fn notify_watches(&mut self) {
         for watch in std::mem::take(&mut self.store.watches) {
-            match self.changes_for(&watch).is_empty() {
+            let is_silent = self.store.unanswered_balancers.contains(&watch.balancer);
+            match is_silent || self.changes_for(&watch).is_empty() {
                 true => self.store.watches.push(watch),
                 false => self.answer_watch(&watch),
             }
@@ -401,14 +402,20 @@
         if self.store.watches.len() == before {
             return;
         }
-        if self.now < self.store.watches_stalled_until {
+        let is_silent = self.store.unanswered_balancers.contains(&watch.balancer);
+        if is_silent || self.now < self.store.watches_stalled_until {
             // The watch does not even end; only the balancer's time-out detects the failure.
             let event = Event::ReadFailed {
                 kind: watch.kind,
                 is_history_gone: false,
                 why: "timed out".into(),
             };
-            return self.schedule_result(watch, event, Span::millis(800));
+            let wait = if is_silent {
+                READ_TIMEOUT
+            } else {
+                Span::millis(800)
+            };
+            return self.schedule_result(watch, event, wait);
         }
         self.answer_watch(watch);
     }
