forward: a restored store's objects wait until lost changes are repeated

Callers would see, for as long as authors take to repeat what a restore of the store from an older copy has undone: flows opened at servers that drain, in a domain that is out and on a dropped route, and cold servers over their limit.

Cause: the new era replaced the state of before at once, which is closer to what operators and servers want than the copy.

Change: a balancer that has a state puts objects of a later era in force 2 s after its first sign of that era, from the store or from peers. One that starts takes what there is.

--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -10,7 +10,9 @@
 //!
 //! A store that was restored from an older copy is in a new era (`conf::place`). The changes before
 //! an answer of that era are unknown, whatever revision the read started from, so each feed lists its
-//! kind again. Answers and updates of an earlier era are ignored.
+//! kind again. It does so only after `REPEAT_PERIOD`: until the authors of lost changes have repeated
+//! them, the state of before the restore is closer to what they want than the copy. Answers and
+//! updates of an earlier era are ignored.
 
 use base::prelude::*;
 use conf::object::Kind;
@@ -59,6 +61,10 @@
 /// Bounds the age of the heartbeat feed's confirmation of which watermarks are published: the
 /// heartbeat watch, the time-out of a lost answer and the read that follows it.
 pub const WATERMARK_AGE_MAX: Span = Span::millis(1_500);
+/// How long the objects of a restored store are not put in force after the first sign of the restore.
+/// Operators and backend servers repeat within about 2 s what the store has lost, and a change that
+/// is made meanwhile still is in force within 3 s.
+pub const REPEAT_PERIOD: Span = Span::secs(2);
 /// How long a balancer does not start reads for its role after its first listing. Balancers that
 /// start together find each other in that time, and elect one reader.
 pub const STARTUP_QUIET_PERIOD: Span = Span::millis(1_200);
@@ -108,6 +114,9 @@
     /// The highest revision that the platform's store is known to have reached, and since when this
     /// feed is behind it.
     behind: Option<(u64, Time)>,
+    /// The latest era of the store that is known, and since when, if it follows that of the local
+    /// state.
+    next_era: Option<(u16, Time)>,
 }
 
 /// An update that a peer published.
@@ -143,8 +152,8 @@
     Applied(Change),
     /// It is older than the local state, and was ignored.
     Stale,
-    /// It shows that the store was restored after the place from which the read started. The kind is
-    /// listed next.
+    /// It shows that the store was restored after the place from which the read started, or too
+    /// recently. The kind is listed later.
     Restored,
 }
 
@@ -166,6 +175,7 @@
             quiet_until: Time::default(),
             peer_state_at: None,
             behind: None,
+            next_era: None,
         }
     }
 
@@ -184,10 +194,27 @@
         Place::from(self.store.revision()).era()
     }
 
-    /// Requests a listing, even while a watch is in flight or updates of peers arrive.
-    fn require_listing(&mut self) {
+    /// Returns whether objects of an era are not to be put in force yet, since the store was restored
+    /// a moment ago.
+    fn is_held_back(&mut self, now: Time, era: u16) -> bool {
+        if !self.is_synced() || era <= self.era() {
+            return false;
+        }
+        let since = match self.next_era {
+            Some((known, since)) if known >= era => since,
+            _ => now,
+        };
+        self.next_era = self.next_era.max(Some((era, since)));
+        now.since(since) < REPEAT_PERIOD
+    }
+
+    /// Requests a listing for when the objects of a restored store may be put in force, even while a
+    /// watch is in flight or updates of peers arrive.
+    fn require_listing(&mut self, now: Time) {
         self.needs_listing = true;
         self.needs_read = true;
+        let due = self.next_era.map(|(_, since)| since + REPEAT_PERIOD);
+        self.read_state = ReadState::Idle(due.unwrap_or(now).max(now));
     }
 
     /// Returns whether a complete state of some revision has been received.
@@ -281,9 +308,9 @@
             self.read_state = ReadState::Idle(now + DEBOUNCE);
             return Answer::Stale;
         }
-        if !is_listing && era != Place::from(since).era() {
-            self.require_listing();
-            self.read_state = ReadState::Idle(now);
+        let is_continued = is_listing || era == Place::from(since).era();
+        if self.is_held_back(now, era) || !is_continued {
+            self.require_listing(now);
             return Answer::Restored;
         }
         let change = self.store.apply(objects, since, upto);
@@ -327,6 +354,14 @@
     /// Applies an update that a peer published.
     pub fn apply_peer_update(&mut self, now: Time, update: &Update<'_>) -> Change {
         let current = self.store.revision();
+        if self.is_held_back(now, Place::from(update.upto).era()) {
+            self.require_listing(now);
+            return Change {
+                from: current,
+                to: current,
+                ..Change::default()
+            };
+        }
         let change = self.store.apply(update.objects, update.since, update.upto);
         // A peer that is behind does not count as a source of updates.
         if update.upto < current {
@@ -417,8 +452,8 @@
         if revision <= self.store.revision() {
             return;
         }
-        if self.is_synced() && Place::from(revision).era() > self.era() {
-            return self.require_listing();
+        if self.is_held_back(now, Place::from(revision).era()) {
+            return self.require_listing(now);
         }
         if self.kind == HEARTBEAT_KIND {
             return;
