forward: an entry of a restored store ends no cold start

Cause: a new version of a server's entry replaced the end of its slow start. A store that was restored from an older copy may show an entry of before a cold restart, with a remaining time of zero, if the server repeats its entry late.

Change: an entry of another era only prolongs it.

Test: table::promise_03_an_entry_of_a_restored_store_does_not_end_a_cold_start, which fails before.

--- a/crates/forward/src/table.rs
+++ b/crates/forward/src/table.rs
@@ -387,10 +387,7 @@
         row.domain = domain;
         row.pool = pool;
         row.slots = u32::from(server.slots);
-        if row.version != object.meta.version {
-            row.cold_until = now + server.cold;
-        }
-        row.version = object.meta.version;
+        row.set_version(now, object.meta.version, server.cold);
         row.status = status;
         true
     }
--- a/crates/forward/src/table/row.rs
+++ b/crates/forward/src/table/row.rs
@@ -85,6 +85,18 @@
         (self.pool, self.is_present())
     }
 
+    /// Records the version of its entry, and the remaining time of slow start that a new one states.
+    pub(crate) fn set_version(&mut self, now: Time, version: u64, cold: Span) {
+        if self.version == version {
+            return;
+        }
+        let is_same_era = Place::from(self.version).era() == Place::from(version).era();
+        // The copy from which a store was restored may have an entry of before a cold restart.
+        let earliest = if is_same_era { now } else { self.cold_until };
+        self.cold_until = earliest.max(now + cold);
+        self.version = version;
+    }
+
     /// Counts a flow of this balancer.
     pub(crate) fn add_flow(&mut self, flow: &Flow) {
         self.open_flows += 1;
--- a/crates/forward/tests/all/table.rs
+++ b/crates/forward/tests/all/table.rs
@@ -9,6 +9,7 @@
 use conf::object::Meta;
 use conf::object::Object;
 use conf::object::State;
+use conf::place::Place;
 use forward::table::row::Status;
 use forward::table::Table;
 use forward::table::GONE_RETENTION;
@@ -38,6 +39,29 @@
     Object { meta, body }
 }
 
+/// A restored store may show the entry of before a cold restart, whose time is over.
+#[test]
+fn promise_03_an_entry_of_a_restored_store_does_not_end_a_cold_start() {
+    let at = |era, revision, cold| {
+        let place = Place::new(era, revision).expect("the revision is in range");
+        let mut object = server("i-1", place.into(), State::In, 1);
+        if let Body::Server(server) = &mut object.body {
+            server.cold = cold;
+        }
+        object
+    };
+    let is_cold = |table: &Table| {
+        let (key, _) = table.servers().next().expect("the server is known");
+        table.is_cold(key, NOW + Span::secs(3))
+    };
+    let mut table = Table::default();
+    table.apply_servers(NOW, [&at(1, 9, Span::secs(4))].into_iter());
+    table.apply_servers(NOW, [&at(2, 5, Span::ZERO)].into_iter());
+    assert!(is_cold(&table), "the copy is older than the restart");
+    table.apply_servers(NOW, [&at(2, 10, Span::ZERO)].into_iter());
+    assert!(!is_cold(&table), "the server says so");
+}
+
 fn status(table: &Table, name: &str) -> Option<Status> {
     let mut rows = table.servers().filter(|(_, row)| row.name == name);
     rows.next().map(|(_, row)| row.status)
