--- a/crates/conf/src/store.rs
+++ b/crates/conf/src/store.rs
@@ -117,16 +117,15 @@
     /// a listing of all objects as of `upto`.
     ///
     /// A listing older than the revision in force changes nothing. Otherwise it also deletes the
-    /// objects that it does not contain. Only a listing completes the state of a new era: the changes
-    /// of a delta count as incomplete if the revision in force is of another era.
+    /// objects that it does not contain. Only a listing completes the state of a later era.
     pub fn apply(&mut self, objects: &[raw::Object], since: u64, upto: u64) -> Change {
         let full = since == 0;
         let from = self.revision;
-        let is_same_era = Place::from(from).era() == Place::from(upto).era();
+        let is_later_era = Place::from(upto).era() > Place::from(from).era();
         let mut change = Change {
             from,
             to: from,
-            has_gap: !full && (since > from || !is_same_era && upto > from),
+            has_gap: !full && (since > from || is_later_era),
             ..Change::default()
         };
         if full && upto < from {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -57,7 +57,8 @@
 //! - `recipient`: the recipients of summaries between failure domains.
 //! - `spill`: the share of new flows that other failure domains take.
 //! - `patch`: deltas between versions of large objects.
-//! - `tick`: timers, reads of the platform and how their results are put in force.
+//! - `read`: reads of the platform, and how objects are put in force.
+//! - `tick`: timers and periodic work.
 //!
 //! The interface to the driver:
 //!
@@ -122,6 +123,7 @@
 mod mean;
 mod opening;
 mod peer;
+mod read;
 mod report;
 mod transfer;
 
--- a/crates/forward/src/peer.rs
+++ b/crates/forward/src/peer.rs
@@ -25,11 +25,11 @@
 use crate::load;
 use crate::note::Note;
 use crate::patch;
+use crate::read;
 use crate::report;
 use crate::role::Tier;
 use crate::setting::Setting;
 use crate::state::Forwarder;
-use crate::tick;
 use crate::transfer;
 
 /// The period of membership probes. Flows do not depend on membership; only cold servers and the
@@ -167,7 +167,7 @@
     let change = feed.apply_peer_update(now, &update);
     let is_new = !had_gap && feed.has_gap();
     request_gap_fill(state, kind, peer, is_new, out);
-    tick::apply_change(state, kind, change, Some(from), out);
+    read::apply_change(state, kind, change, Some(from), out);
     if change.objects > 0 && state.role.tier == Tier::Relay {
         publish_changes(state, kind, &baseline, out);
     }
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -39,6 +39,7 @@
 use crate::packet::Verdict;
 use crate::peer;
 use crate::reach::Reach;
+use crate::read;
 use crate::report;
 use crate::role::Role;
 use crate::setting::Setting;
@@ -171,12 +172,12 @@
                 since,
                 upto,
                 objects,
-            } => tick::handle_read(self, kind, since, upto, &objects, out),
+            } => read::handle_answer(self, kind, since, upto, &objects, out),
             Event::ReadFailed {
                 kind,
                 is_history_gone,
                 why,
-            } => tick::handle_read_failure(self, kind, is_history_gone, why, out),
+            } => read::handle_failure(self, kind, is_history_gone, why, out),
             Event::Candidates(addresses) => peer::add_candidates(self, addresses, out),
             Event::Frame { peer, frame } => peer::handle_frame(self, peer, frame, out),
             Event::Fragment(peer) => self.startup.record_fragment(now, peer),
--- a/crates/forward/src/transfer.rs
+++ b/crates/forward/src/transfer.rs
@@ -13,12 +13,12 @@
 use crate::effect::Effect;
 use crate::feed;
 use crate::peer;
+use crate::read;
 use crate::setting::StartFrom;
 use crate::snapshot;
 use crate::startup;
 use crate::startup::serve::Answer;
 use crate::state::Forwarder;
-use crate::tick;
 
 /// Asks a peer for a snapshot if one is due while objects of some kind are missing. Returns whether
 /// the platform may be read.
@@ -68,7 +68,7 @@
                 .startup
                 .record_busy(state.now, (own, peer), wait, named);
             // The named peer is asked, or the platform read, without waiting for the next tick.
-            tick::start_reads(state, out);
+            read::start_due(state, out);
         }
         Body::Snapshot(snapshot) if is_member => apply(state, from, peer, &snapshot, out),
         Body::SnapshotRequest | Body::SnapshotBusy { .. } | Body::Snapshot(_) => {
@@ -183,7 +183,7 @@
             objects: &objects,
         };
         let change = feed.apply_snapshot(now, &update);
-        tick::apply_change(state, kind, change, Some(from), out);
+        read::apply_change(state, kind, change, Some(from), out);
     }
     match state.feeds.are_synced() {
         true => answer_waiting(state, out),
