soak, stub, plat: restores of the platform from an older copy

Reproduced by the soak, whose platform can be restored now (--restores): down, then back from an older copy in a new era, with lost changes repeated by their authors within 2 s.

Listings of the store's API have the era; the interface to forwarding balancers makes places of it. The relay of requests and wasabictl see bare revisions as before.

--- a/crates/plat/src/client.rs
+++ b/crates/plat/src/client.rs
@@ -49,15 +49,15 @@
     ///
     /// `Unavailable` or `Refused`.
     pub async fn list(&self, kind: Option<Kind>) -> Result<List, Error> {
+        Ok(self.read_objects(kind).await?.into())
+    }
+
+    pub(crate) async fn read_objects(&self, kind: Option<Kind>) -> Result<Objects, Error> {
         let path = match kind {
             None => "objects".to_string(),
             Some(kind) => format!("objects/{kind}"),
         };
-        let response: Objects = self
-            .http
-            .send_read(self.request(Method::GET, &path))
-            .await?;
-        Ok(response.into())
+        self.http.send_read(self.request(Method::GET, &path)).await
     }
 
     /// Reads an object.
@@ -103,6 +103,15 @@
     ///
     /// `Gone`, `Unavailable` or `Refused`.
     pub async fn watch(&self, since: u64, wait: Duration, kinds: &[Kind]) -> Result<List, Error> {
+        Ok(self.watch_objects(since, wait, kinds).await?.into())
+    }
+
+    pub(crate) async fn watch_objects(
+        &self,
+        since: u64,
+        wait: Duration,
+        kinds: &[Kind],
+    ) -> Result<Objects, Error> {
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
         let names: Vec<&str> = kinds.iter().map(|kind| kind.name()).collect();
         let mut path = format!("watch?since={since}&wait_ms={wait_ms}");
@@ -112,8 +121,7 @@
         let request = self
             .http
             .long_poll_request(Method::GET, &format!("v1/{path}"), wait);
-        let response: Objects = self.http.send_read(request).await?;
-        Ok(response.into())
+        self.http.send_read(request).await
     }
 
     /// Lists the hosts.
--- a/crates/plat/src/response.rs
+++ b/crates/plat/src/response.rs
@@ -4,15 +4,18 @@
 use std::net::SocketAddr;
 
 use conf::object::Kind;
+use conf::place::Place;
 use conf::raw;
 use serde::Deserialize;
 use serde::Serialize;
 use serde_json::Value;
 
+use crate::error::Error;
+
 /// Objects as of a revision, or the changes up to it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct List {
-    /// The revision of the platform, as the number of its `conf::place::Place`.
+    /// The revision of the platform; in lists of `Source`, the number of its `conf::place::Place`.
     pub revision: u64,
     /// The objects; in the response to a watch, also tombstones.
     pub objects: Vec<raw::Object>,
@@ -60,10 +63,29 @@
 /// does not hide the others.
 #[derive(Debug, Deserialize)]
 pub(crate) struct Objects {
+    #[serde(default)]
+    era: u64,
     revision: u64,
     objects: Vec<Value>,
 }
 
+impl Objects {
+    /// Returns the objects with the places of their changes in the platform's era.
+    pub(crate) fn with_places(self) -> Result<List, Error> {
+        let era = self.era;
+        let place = |revision| {
+            let place = Place::new(era, revision).map(u64::from);
+            place.ok_or_else(|| Error::Unavailable(format!("revision {revision} is out of range")))
+        };
+        let mut list = List::from(self);
+        list.revision = place(list.revision)?;
+        for object in &mut list.objects {
+            object.version = place(object.version)?;
+        }
+        Ok(list)
+    }
+}
+
 impl From<Objects> for List {
     fn from(objects: Objects) -> List {
         List {
--- a/crates/plat/src/source.rs
+++ b/crates/plat/src/source.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use conf::object::Kind;
+use conf::place::Place;
 
 use crate::client::Client;
 use crate::error::Error;
@@ -40,7 +41,8 @@
     }
 }
 
-/// The requests to a platform that a packet-forwarding balancer makes.
+/// The requests to a platform that a packet-forwarding balancer makes. Revisions and versions are the
+/// numbers of places (`conf::place::Place`).
 pub trait Source: Clone + Send + Sync + 'static {
     /// Lists the objects of a kind.
     fn list(&self, kind: Kind) -> impl Future<Output = Result<List, Error>> + Send;
@@ -76,11 +78,13 @@
 
 impl Source for Client {
     async fn list(&self, kind: Kind) -> Result<List, Error> {
-        Client::list(self, Some(kind)).await
+        self.read_objects(Some(kind)).await?.with_places()
     }
 
     async fn watch(&self, kind: Kind, since: u64, wait: Duration) -> Result<List, Error> {
-        Client::watch(self, since, wait, &[kind]).await
+        let revision = Place::from(since).revision();
+        let objects = self.watch_objects(revision, wait, &[kind]).await?;
+        objects.with_places()
     }
 
     /// Does nothing: the list of hosts of the platform already contains the addresses.
--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -39,6 +39,8 @@
     seconds: u64,
     /// Leave out loads: crowds, slow and full servers, full links
     faults_only: bool,
+    /// Add restores of the platform from an older copy
+    restores: bool,
     /// Keep the logs of seeds without breaches
     keep_logs: bool,
     /// Path of the balancer's executable [default: wasabid of the same build]
@@ -55,6 +57,7 @@
         seed,
         span: Span::secs(options.seconds),
         has_loads: !options.faults_only,
+        has_restores: options.restores,
         addresses: Addresses::new(slot),
         program: options
             .program
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -12,6 +12,7 @@
 use stub::platform::Faults;
 use stub::platform::Outage;
 use stub::platform::Platform;
+use tokio::sync::Mutex;
 use tokio::task::JoinSet;
 
 use crate::address;
@@ -45,6 +46,9 @@
 /// Least time for which a failure domain is out: longer than the bound for new flows, so that late
 /// ones are seen.
 const OUT_MIN: Duration = Duration::from_millis(7_000);
+/// Time for which the platform is down before it is restored: this, and as much for each number of
+/// the fault's index.
+const RESTORE_DOWN_STEP: Duration = Duration::from_millis(200);
 /// Time before another server reuses an address.
 const ADDRESS_REUSE_DELAY: Duration = Duration::from_millis(2_000);
 /// Changes of the routing in one [`Kind::Storm`].
@@ -62,6 +66,8 @@
     pub operator: Operator,
     /// The platform stub.
     pub platform: Platform,
+    /// Held during a restore of the platform.
+    pub restores: Mutex<()>,
 }
 
 fn to_duration(span: Span) -> Duration {
@@ -165,6 +171,7 @@
             }
             Kind::Crowd => self.run_crowd().await,
             Kind::Link => self.fill_link(index, duration).await,
+            Kind::Restore => self.restore_platform(index, duration).await,
         }
     }
 
@@ -273,6 +280,22 @@
         self.platform.set_faults(Faults::default());
     }
 
+    /// Restores the platform from a copy of the given age. Nothing counts as settled before all lost
+    /// changes have been repeated.
+    async fn restore_platform(&self, index: usize, age: Duration) {
+        let _guard = self.restores.lock().await;
+        let copy = self.platform.copy();
+        tokio::time::sleep(age).await;
+        let down = RESTORE_DOWN_STEP * (index as u32 + 1);
+        self.inject_outage(Outage::Refuse, 0, down).await;
+        self.platform.restore(copy);
+        self.world
+            .with(|state, now| state.platform_last_fault = now);
+        self.operator.repeat_lost_changes().await;
+        self.world
+            .with(|state, now| state.platform_last_fault = now);
+    }
+
     async fn compact_history(&self) {
         let control = self.platform.address().control;
         let call = stub::http::call(hyper::Method::POST, control, "/control/compact", "");
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -11,6 +11,7 @@
 use eyre::Result;
 use plat::Client;
 use plat::Error;
+use rand::Rng;
 use serde_json::json;
 use tokio::sync::Mutex;
 
@@ -18,6 +19,7 @@
 use crate::server::Server;
 use crate::server::Status;
 use crate::world::Route;
+use crate::world::State;
 use crate::world::World;
 
 /// Number of server pools. Routes are assigned to them in turn.
@@ -37,6 +39,8 @@
 pub const LESS_URGENT: u8 = 2;
 /// Delay before a failed write is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Time within which authors repeat the changes that a restore of the platform has undone.
+const REPEAT_TIME_MAX: Span = Span::secs(2);
 /// Time for which a server that starts during the run is cold.
 pub const COLD_TIME: Span = Span::secs(2);
 
@@ -47,13 +51,21 @@
 pub struct Operator {
     world: World,
     client: Client,
-    /// Versions of the objects as last written. The lock is held during a write, so that writes of
-    /// an object are serialized.
-    versions: Mutex<BTreeMap<(Kind, String), u64>>,
+    /// The objects as last written. The lock is held during a write, so that writes are serialized.
+    written: Mutex<BTreeMap<(Kind, String), Written>>,
     /// Held during a change of the routes, from reading the current ones to the acknowledgement.
     routing: Mutex<()>,
 }
 
+/// An object as last written.
+#[derive(Clone, Debug, Default)]
+struct Written {
+    /// The version to write over; 0 if there is none.
+    version: u64,
+    /// The object; `None` if it was deleted.
+    object: Option<Object>,
+}
+
 /// Returns the priority of a route: every second route of the pool with priorities is less urgent.
 pub fn priority(route: u8) -> u8 {
     let (_, less_urgent) = PRIORITY_ROUTES;
@@ -63,6 +75,14 @@
     }
 }
 
+/// Returns the version to write over: that of a live object, or 0 over a tombstone.
+fn live_version(stored: &Object) -> u64 {
+    match stored.deleted {
+        true => 0,
+        false => stored.version,
+    }
+}
+
 fn pool_name(pool: usize) -> String {
     format!("p{pool}")
 }
@@ -79,7 +99,7 @@
         Ok(Operator {
             world,
             client: client.with_timeout(Duration::from_secs(2)),
-            versions: Mutex::new(BTreeMap::new()),
+            written: Mutex::new(BTreeMap::new()),
             routing: Mutex::new(()),
         })
     }
@@ -99,28 +119,94 @@
             labels: labels.collect(),
             spec: Spec(spec),
         };
-        let mut versions = self.versions.lock().await;
-        let version = versions.entry((kind, name.to_owned())).or_default();
+        let mut written = self.written.lock().await;
+        let entry = written.entry((kind, name.to_owned())).or_default();
+        entry.object = Some(object);
+        self.write(entry).await;
+    }
+
+    async fn delete(&self, kind: Kind, name: &str) {
+        let mut written = self.written.lock().await;
+        let Some(entry) = written.get_mut(&(kind, name.to_owned())) else {
+            return;
+        };
+        let object = entry.object.take();
+        self.remove(
+            entry,
+            kind,
+            object.map_or_else(String::new, |object| object.name),
+        )
+        .await;
+    }
+
+    /// Writes an object as recorded, and retries until the platform acknowledges it.
+    async fn write(&self, entry: &mut Written) {
+        let Written { version, object } = entry;
+        let Some(object) = object else {
+            return;
+        };
         loop {
-            match self.client.put(&object, *version).await {
+            match self.client.put(object, *version).await {
                 Ok(stored) => break *version = stored.version,
-                Err(Error::Conflict(stored)) => *version = stored.version,
+                Err(Error::Conflict(stored)) => *version = live_version(&stored),
+                // The platform was restored from a copy without the object.
+                Err(Error::NotFound) => *version = 0,
                 Err(_) => tokio::time::sleep(RETRY_DELAY).await,
             }
         }
     }
 
-    async fn delete(&self, kind: Kind, name: &str) {
-        let mut versions = self.versions.lock().await;
-        let Some(mut version) = versions.remove(&(kind, name.to_owned())) else {
+    /// Deletes an object, and retries until the platform acknowledges it.
+    async fn remove(&self, entry: &mut Written, kind: Kind, name: String) {
+        loop {
+            match self.client.delete(kind, &name, entry.version).await {
+                Ok(_) | Err(Error::NotFound) => break entry.version = 0,
+                Err(Error::Conflict(stored)) => entry.version = stored.version,
+                Err(_) => tokio::time::sleep(RETRY_DELAY).await,
+            }
+        }
+    }
+
+    /// Repeats the changes that the platform has lost by a restore, each at a random time within
+    /// `REPEAT_TIME_MAX`. Returns once all are acknowledged.
+    pub async fn repeat_lost_changes(&self) {
+        let keys: Vec<(Kind, String)> = self.written.lock().await.keys().cloned().collect();
+        let mut due: Vec<(u64, (Kind, String))> = self.world.with(|state, _| {
+            let wait = |state: &mut State| state.random.random_range(0..REPEAT_TIME_MAX.0);
+            keys.into_iter().map(|key| (wait(state), key)).collect()
+        });
+        due.sort();
+        let start = tokio::time::Instant::now();
+        for (wait, (kind, name)) in due {
+            tokio::time::sleep_until(start + Duration::from_micros(wait)).await;
+            self.repeat_change(kind, name).await;
+        }
+    }
+
+    /// Repeats the last change of an object unless the platform has it.
+    async fn repeat_change(&self, kind: Kind, name: String) {
+        let mut written = self.written.lock().await;
+        let Some(entry) = written.get_mut(&(kind, name.clone())) else {
             return;
         };
-        loop {
-            match self.client.delete(kind, name, version).await {
-                Ok(_) | Err(Error::NotFound) => return,
-                Err(Error::Conflict(stored)) => version = stored.version,
+        let stored = loop {
+            match self.client.get(kind, &name).await {
+                Ok(stored) => break Some(stored),
+                Err(Error::NotFound) => break None,
                 Err(_) => tokio::time::sleep(RETRY_DELAY).await,
             }
+        };
+        let is_same = match (&stored, &entry.object) {
+            (Some(stored), Some(object)) => {
+                stored.labels == object.labels && stored.spec.is_equivalent(&object.spec)
+            }
+            (stored, object) => stored.is_none() && object.is_none(),
+        };
+        entry.version = stored.map_or(0, |stored| stored.version);
+        match (is_same, entry.object.is_some()) {
+            (true, _) => (),
+            (false, true) => self.write(entry).await,
+            (false, false) => self.remove(entry, kind, name).await,
         }
     }
 
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -1,8 +1,8 @@
 //! The fault plan of a seed. Faults are drawn at random; they may follow each other or overlap.
 //!
 //! A seed always gives the same plan: the order of the draws and of the variants of [`Kind`] is
-//! part of that. Loads are drawn from a random stream of their own, so that a seed keeps the faults
-//! that it had before there were loads.
+//! part of that. Loads and restores are drawn from random streams of their own, so that a seed keeps
+//! the faults that it had before there were any.
 
 use base::prelude::*;
 use rand::Rng;
@@ -20,6 +20,8 @@
 const PLAN_SALT: u64 = 0x706c_616e;
 /// Makes the random stream of the loads differ from the others of the same seed.
 const LOAD_SALT: u64 = 0x6c6f_6164;
+/// Makes the random stream of the restores differ from the others of the same seed.
+const RESTORE_SALT: u64 = 0x6261_636b;
 /// Time before the first fault; longer than the time after which balancers count as settled.
 pub const WARM_UP: Span = Span::secs(5);
 /// Time after the last fault. The system recovers first, then requests are checked.
@@ -30,11 +32,15 @@
 const DURATION_MS: std::ops::Range<u64> = 300..5_000;
 /// Range of the number of loads of a seed.
 const LOADS: std::ops::RangeInclusive<u64> = 2..=4;
+/// Range of the number of restores of a seed.
+const RESTORES: std::ops::RangeInclusive<u64> = 1..=3;
 /// Time after the last possible start of a fault within which loads still start, so that some of
 /// them meet no fault.
 const LOAD_TAIL: Span = Span::secs(15);
 /// Number of the kinds that are faults. The kinds after them are loads.
 const FAULT_KINDS: usize = Kind::Slow as usize;
+/// Number of the kinds that are faults or loads.
+const LOAD_KINDS_END: usize = Kind::Restore as usize;
 
 /// Kinds of faults. They are printed under their names, in kebab case.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, EnumCount, FromRepr)]
@@ -106,6 +112,9 @@
     Crowd,
     /// The link of a balancer's host is full of uploads.
     Link,
+    /// The platform is down and comes back from a copy of its objects that was made at the start of
+    /// the fault. Authors repeat their lost changes.
+    Restore,
 }
 
 /// A planned fault.
@@ -143,12 +152,20 @@
     let mut random = ChaCha8Rng::seed_from_u64(seed ^ LOAD_SALT);
     let count = random.random_range(LOADS);
     let draw = |_| {
-        let kind = random.random_range(FAULT_KINDS..Kind::COUNT);
+        let kind = random.random_range(FAULT_KINDS..LOAD_KINDS_END);
         draw_details(&mut random, kind, Span(span.0 + LOAD_TAIL.0))
     };
     (0..count).map(draw).collect()
 }
 
+/// Draws the restores of a seed. They start within `span` after [`WARM_UP`].
+pub fn draw_restores(seed: u64, span: Span) -> Vec<Fault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ RESTORE_SALT);
+    let count = random.random_range(RESTORES);
+    let draw = |_| draw_details(&mut random, Kind::Restore as usize, span);
+    (0..count).map(draw).collect()
+}
+
 fn draw_details(random: &mut ChaCha8Rng, kind: usize, span: Span) -> Fault {
     let kind = Kind::from_repr(kind).expect("the index is below the number of kinds");
     let count = match kind {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -9,6 +9,7 @@
 use eyre::Result;
 use serde::Serialize;
 use stub::platform::Platform;
+use tokio::sync::Mutex;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
@@ -53,6 +54,8 @@
     pub span: Span,
     /// Whether the loads of the seed are added to its faults.
     pub has_loads: bool,
+    /// Whether the restores of the seed are added to its faults.
+    pub has_restores: bool,
     /// The addresses to use; concurrent runs need different ones.
     pub addresses: Addresses,
     /// Path of the balancer's executable.
@@ -105,6 +108,9 @@
     if config.has_loads {
         faults.extend(plan::draw_loads(config.seed, config.span));
     }
+    if config.has_restores {
+        faults.extend(plan::draw_restores(config.seed, config.span));
+    }
     for (number, &fault) in (0..).zip(&faults) {
         let injector = injector.clone();
         let at = start + Duration::from_micros(fault.at.0);
@@ -176,6 +182,7 @@
         processes,
         operator: Operator::new(world.clone())?,
         platform,
+        restores: Mutex::new(()),
     });
     injector.create_objects().await;
     for balancer in 0..BALANCERS {
--- a/crates/soak/tests/parts.rs
+++ b/crates/soak/tests/parts.rs
@@ -79,6 +79,11 @@
         |fault: &plan::Fault| fault.at >= plan::WARM_UP && fault.at.0 < plan::WARM_UP.0 + span.0;
     assert!(all.iter().all(within));
     all.extend((0..200).flat_map(|seed| plan::draw_loads(seed, span)));
+    let restores: Vec<_> = (0..200)
+        .flat_map(|seed| plan::draw_restores(seed, span))
+        .collect();
+    assert!(restores.iter().all(within));
+    all.extend(restores);
     let kinds: std::collections::BTreeSet<String> =
         all.iter().map(|fault| fault.kind.to_string()).collect();
     assert_eq!(
--- a/crates/stub/examples/demo.rs
+++ b/crates/stub/examples/demo.rs
@@ -103,6 +103,7 @@
     let name = format!("wasabiarch-demo-{}", std::process::id());
     let folder = std::env::temp_dir().join(name);
     let config = soak::run::Config {
+        has_restores: false,
         has_loads: false,
         seed: options.seed,
         span: FAULT_PERIOD,
--- a/crates/stub/src/platform.rs
+++ b/crates/stub/src/platform.rs
@@ -168,6 +168,16 @@
     pub fn stats(&self) -> Stats {
         self.shared.stats()
     }
+
+    /// Returns a copy of the store, for a later restore.
+    pub fn copy(&self) -> Store {
+        self.shared.state().store.clone()
+    }
+
+    /// Restores the store from a copy, in a new era. Open connections are closed.
+    pub fn restore(&self, copy: Store) {
+        self.shared.restore(copy);
+    }
 }
 
 impl Drop for Platform {
@@ -203,6 +213,12 @@
         }
     }
 
+    fn restore(&self, copy: Store) {
+        self.state().store.restore(copy);
+        self.signal.send_modify(|s| s.aborts += 1);
+        self.publish_revision();
+    }
+
     fn publish_revision(&self) {
         let revision = self.state().store.revision();
         self.revision.send_replace(revision);
@@ -395,12 +411,8 @@
                 state.snapshot = state.store.clone();
             }
             (&Method::POST, "/control/restore") => {
-                let mut state = self.0.state();
-                let older = state.snapshot.clone();
-                state.store.restore(older);
-                drop(state);
-                self.0.signal.send_modify(|s| s.aborts += 1);
-                self.0.publish_revision();
+                let copy = self.0.state().snapshot.clone();
+                self.0.restore(copy);
             }
             (&Method::POST, "/control/compact") => self.0.state().store.compact(),
             _ => return http::respond(StatusCode::NOT_FOUND, Payload::default()),
--- a/crates/stub/src/platform/store.rs
+++ b/crates/stub/src/platform/store.rs
@@ -24,12 +24,19 @@
 /// Objects, and the revision of the store that they were read at.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct List {
+    /// The store's era; 0 until its first restore, when it is left out.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub era: u64,
     /// The store's revision.
     pub revision: u64,
     /// The objects, by kind and name.
     pub objects: Vec<Object>,
 }
 
+fn is_zero(era: &u64) -> bool {
+    *era == 0
+}
+
 /// A host in the platform's list of hosts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Host {
@@ -56,6 +63,7 @@
 /// The store: live objects and tombstones.
 #[derive(Clone, Debug, Default)]
 pub struct Store {
+    era: u64,
     revision: u64,
     compacted_revision: u64,
     last_uid: u32,
@@ -72,6 +80,7 @@
     pub fn list(&self, kind: Option<&str>) -> List {
         let wanted = |o: &&Object| !o.deleted && kind.is_none_or(|k| k == o.kind);
         List {
+            era: self.era,
             revision: self.revision,
             objects: self.objects.values().filter(wanted).cloned().collect(),
         }
@@ -139,6 +148,7 @@
         let mut objects: Vec<Object> = changed.cloned().collect();
         objects.sort_by_key(|o| o.version);
         Ok(List {
+            era: self.era,
             revision: self.revision,
             objects,
         })
@@ -150,9 +160,14 @@
         self.objects.retain(|_, o| !o.deleted);
     }
 
-    /// Restores an older state. UIDs that were assigned since then are not reused.
+    /// Restores an older state, in a new era. UIDs that were assigned since then are not reused.
     pub fn restore(&mut self, older: Store) {
         let last_uid = self.last_uid.max(older.last_uid);
-        *self = Store { last_uid, ..older };
+        let era = self.era + 1;
+        *self = Store {
+            era,
+            last_uid,
+            ..older
+        };
     }
 }
--- a/crates/stub/tests/platform.rs
+++ b/crates/stub/tests/platform.rs
@@ -5,10 +5,14 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
+use conf::object::Kind;
+use conf::place::Place;
 use conf::raw::Object;
 use conf::raw::Spec;
 use hyper::Method;
 use hyper::StatusCode;
+use plat::source::Source;
+use plat::Client;
 use stub::http::call;
 use stub::platform::store::Gone;
 use stub::platform::store::List;
@@ -120,6 +124,30 @@
     );
 }
 
+/// A balancer that forwards packets orders changes by era; other clients see bare revisions.
+#[tokio::test]
+async fn a_restore_begins_an_era() {
+    let platform = start().await;
+    let domain = Object {
+        kind: "Domain".into(),
+        ..object("a", "{}")
+    };
+    let client = Client::new(format!("http://{}", platform.address().api)).expect("a URL");
+    client.put(&domain, 0).await.expect("written");
+    let copy = platform.copy();
+    client.put(&domain, 1).await.expect("written");
+    let before = Source::list(&client, Kind::Domain).await.expect("listed");
+    platform.restore(copy);
+    let after = Source::list(&client, Kind::Domain).await.expect("listed");
+    let places = [&before, &after].map(|list| Place::from(list.revision).to_string());
+    assert_eq!(places, ["r2", "e1 r1"]);
+    assert!(after.objects[0].version > before.objects[0].version);
+    let changes = Source::watch(&client, Kind::Domain, after.revision, Duration::ZERO).await;
+    assert_eq!(changes.map(|list| list.revision), Ok(after.revision));
+    let bare = client.list(Some(Kind::Domain)).await.expect("listed");
+    assert_eq!((bare.revision, bare.objects[0].version), (1, 1));
+}
+
 #[tokio::test]
 async fn a_long_poll_waits_for_the_next_change_and_counts_as_one_call() {
     let platform = start().await;
