forward: the hold after a restore counts as answered, and causes no reads

Reads that are requested for other reasons wait until the objects of a restored store may be put in force, and a feed that waits for that no longer counts as failing: it asked its peers for listings every 0.3 s meanwhile. The age limit of watermarks is with the role, so that feed and role import in one direction.

--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -23,6 +23,7 @@
 
 use crate::role::Role;
 use crate::role::Tier;
+use crate::role::WATERMARK_AGE_MAX;
 use crate::startup;
 
 mod set;
@@ -58,9 +59,6 @@
 /// How long a peer that published changes beyond a gap has to send the missing ones before the feed
 /// reads the platform.
 pub const GAP_FILL_TIMEOUT: Span = Span::millis(150);
-/// Bounds the age of the heartbeat feed's confirmation of which watermarks are published: the
-/// heartbeat watch, the time-out of a lost answer and the read that follows it.
-pub const WATERMARK_AGE_MAX: Span = Span::millis(1_500);
 /// How long the objects of a restored store are not put in force after the first sign of the restore.
 /// Operators and backend servers repeat within about 2 s what the store has lost, and a change that
 /// is made meanwhile still is in force within 3 s.
@@ -208,13 +206,10 @@
         now.since(since) < REPEAT_PERIOD
     }
 
-    /// Requests a listing for when the objects of a restored store may be put in force, even while a
-    /// watch is in flight or updates of peers arrive.
+    /// Requests a listing even while a watch is in flight or updates of peers arrive.
     fn require_listing(&mut self, now: Time) {
         self.needs_listing = true;
-        self.needs_read = true;
-        let due = self.next_era.map(|(_, since)| since + REPEAT_PERIOD);
-        self.read_state = ReadState::Idle(due.unwrap_or(now).max(now));
+        self.request_read(now);
     }
 
     /// Returns whether a complete state of some revision has been received.
@@ -309,6 +304,7 @@
             return Answer::Stale;
         }
         let is_continued = is_listing || era == Place::from(since).era();
+        self.failures = 0;
         if self.is_held_back(now, era) || !is_continued {
             self.require_listing(now);
             return Answer::Restored;
@@ -317,7 +313,6 @@
         if !self.is_synced() {
             self.quiet_until = now + STARTUP_QUIET_PERIOD;
         }
-        self.failures = 0;
         self.needs_listing &= !is_listing;
         self.needs_read = false;
         self.gap_since = None;
@@ -468,10 +463,13 @@
         self.behind = self.behind.filter(|&(wanted, _)| wanted > revision);
     }
 
-    /// Requests a read even while another one is in flight or updates of peers arrive.
+    /// Requests a read even while another one is in flight or updates of peers arrive. The objects of
+    /// a restored store are not read before they may be put in force.
     pub fn request_read(&mut self, now: Time) {
         self.needs_read = true;
-        self.read_state = ReadState::Idle(now);
+        let next_era = self.next_era.filter(|&(era, _)| era > self.era());
+        let due = next_era.map_or(now, |(_, since)| since + REPEAT_PERIOD);
+        self.read_state = ReadState::Idle(due.max(now));
     }
 
     /// Returns the revision of the kind's last change and the revision up to which there is no
--- a/crates/forward/src/read.rs
+++ b/crates/forward/src/read.rs
@@ -63,7 +63,11 @@
     };
     let (have, failures) = (feed.store().revision(), feed.failures());
     let baseline = peer::Baseline::new(feed, objects.len());
-    let change = match feed.apply_answer(now, since, upto, objects) {
+    let answer = feed.apply_answer(now, since, upto, objects);
+    if failures > 0 && answer != Answer::Stale {
+        out.push(Effect::Note(Note::ReadRecovered { kind, failures }));
+    }
+    let change = match answer {
         Answer::Applied(change) => change,
         Answer::Stale => {
             let (have, got) = (Place::from(have), Place::from(upto));
@@ -77,9 +81,6 @@
         Answer::Restored => return state.feeds.expect_revision(now, upto),
     };
     state.feeds.expect_revision(now, upto);
-    if failures > 0 {
-        out.push(Effect::Note(Note::ReadRecovered { kind, failures }));
-    }
     apply_change(state, kind, change, None, out);
     if change.objects > 0 {
         peer::publish_changes(state, kind, &baseline, out);
--- a/crates/forward/src/role.rs
+++ b/crates/forward/src/role.rs
@@ -14,13 +14,14 @@
 use member::Group;
 use strum::Display;
 
-use crate::feed::WATERMARK_AGE_MAX;
-
 /// The shortest period of watermarks, which state up to which revision a balancer is complete.
 pub const WATERMARK_PERIOD_MIN: Span = Span::millis(150);
 /// The time that each balancer of the largest domain adds to the watermark period, so that
 /// watermarks take at most half of the control bandwidth.
 pub const WATERMARK_PERIOD_PER_PEER: Span = Span::millis(5);
+/// Bounds the age of the heartbeat feed's confirmation of which watermarks are published: the
+/// heartbeat watch, the time-out of a lost answer and the read that follows it.
+pub const WATERMARK_AGE_MAX: Span = Span::millis(1_500);
 /// The rank from which the age at which a balancer reads no longer grows. With the time-out of one
 /// lost answer, a change is in force within 3 s on the last balancer of a domain of five, also if the
 /// platform refuses all others.
--- a/crates/forward/src/startup.rs
+++ b/crates/forward/src/startup.rs
@@ -260,8 +260,8 @@
 /// or a read that fails, which shows that this balancer cannot know more.
 pub fn snapshot_age_max(kind: Kind) -> Span {
     match kind {
-        Kind::Domain => Span(feed::WATERMARK_AGE_MAX.0 + feed::DOMAIN_CATCH_UP_TIMEOUT.0),
-        _ => feed::WATERMARK_AGE_MAX,
+        Kind::Domain => Span(role::WATERMARK_AGE_MAX.0 + feed::DOMAIN_CATCH_UP_TIMEOUT.0),
+        _ => role::WATERMARK_AGE_MAX,
     }
 }
 
