--- a/crates/forward/tests/all/main.rs
+++ b/crates/forward/tests/all/main.rs
@@ -21,6 +21,7 @@
 mod ready;
 mod replication;
 mod restore;
+mod restore_fleet;
 mod sim;
 mod snapshot;
 mod speed;
