--- a/crates/plat/src/http.rs
+++ b/crates/plat/src/http.rs
@@ -238,11 +238,30 @@
     }
 }
 
-/// Decodes a body. Bytes that are not UTF-8 are replaced, so that only the value that contains them
-/// is affected.
+/// Decodes a body. Bytes that are not UTF-8, and control characters within strings, are replaced by
+/// U+FFFD, so that only the value that contains them is affected.
 fn decode<T: DeserializeOwned>(data: &[u8], effect: Effect) -> Result<T, Error> {
     let text = String::from_utf8_lossy(data);
-    serde_json::from_str(&text).map_err(|error| body_error(effect, &error.to_string()))
+    let result = serde_json::from_str(&text);
+    // Without these characters the second attempt fails like the first one.
+    let result = result.or_else(|_| serde_json::from_str(&replace_control_characters(&text)));
+    result.map_err(|error| body_error(effect, &error.to_string()))
+}
+
+/// Replaces the control characters within the strings of a JSON text, where JSON does not permit
+/// them. Between tokens some are white space.
+fn replace_control_characters(text: &str) -> String {
+    let (mut is_string, mut is_escaped) = (false, false);
+    let replace = |character: char| {
+        let is_quote = character == '"' && !is_escaped;
+        is_escaped = is_string && character == '\\' && !is_escaped;
+        is_string ^= is_quote;
+        match is_string && character.is_ascii_control() {
+            true => char::REPLACEMENT_CHARACTER,
+            false => character,
+        }
+    };
+    text.chars().map(replace).collect()
 }
 
 fn body_error(effect: Effect, reason: &str) -> Error {
