--- a/crates/forward/src/table.rs
+++ b/crates/forward/src/table.rs
@@ -25,6 +25,7 @@
 use crate::table::row::Status;
 use crate::token::Mark;
 
+mod mark;
 pub mod route;
 pub mod row;
 
@@ -387,7 +388,7 @@
         row.domain = domain;
         row.pool = pool;
         row.slots = u32::from(server.slots);
-        row.set_version(now, object.meta.version, server.cold);
+        row.set_version(now, &object.meta, server.cold);
         row.status = status;
         true
     }
@@ -422,6 +423,7 @@
             slots: 1,
             status: Status::Draining,
             version: 0,
+            uid: object.meta.uid,
             cold_until: Time::default(),
             next_cold_flow_at: Time::default(),
             tenure: Tenure::Unknown,
@@ -448,14 +450,9 @@
         for pool in self.pools.values_mut() {
             pool.servers.clear();
         }
-        self.marks.clear();
+        self.marks = mark::assign(&mut self.servers, self.server_names.values().copied());
         for &key in self.server_names.values() {
-            let row = &mut self.servers[key];
-            // Iterates by name, so that every balancer gives a shared mark to the same server.
-            row.is_shadowed = self.marks.contains_key(&row.mark);
-            if !row.is_shadowed {
-                self.marks.insert(row.mark, key);
-            }
+            let row = &self.servers[key];
             if let (Some(pool), true) = (row.pool, row.is_present()) {
                 self.pools[pool].servers.push(key);
             }
--- a/crates/forward/src/table/row.rs
+++ b/crates/forward/src/table/row.rs
@@ -5,6 +5,7 @@
 
 use base::prelude::*;
 use conf::key;
+use conf::object;
 use conf::place::Place;
 
 use crate::cold::Tenure;
@@ -49,8 +50,10 @@
     pub slots: u32,
     /// Its state on the platform.
     pub status: Status,
-    /// Revision of its entry.
+    /// Place of the last change of its entry.
     pub version: u64,
+    /// Uid of its entry: lower for one that was created earlier.
+    pub uid: u32,
     /// When its slow start ends.
     pub cold_until: Time,
     /// When a cold server may receive its next flow.
@@ -86,15 +89,16 @@
     }
 
     /// Records the version of its entry, and the remaining time of slow start that a new one states.
-    pub(crate) fn set_version(&mut self, now: Time, version: u64, cold: Span) {
-        if self.version == version {
+    pub(crate) fn set_version(&mut self, now: Time, meta: &object::Meta, cold: Span) {
+        if self.version == meta.version {
             return;
         }
-        let is_same_era = Place::from(self.version).era() == Place::from(version).era();
+        let is_same_era = Place::from(self.version).era() == Place::from(meta.version).era();
         // The copy from which a store was restored may have an entry of before a cold restart.
         let earliest = if is_same_era { now } else { self.cold_until };
         self.cold_until = earliest.max(now + cold);
-        self.version = version;
+        self.version = meta.version;
+        self.uid = meta.uid;
     }
 
     /// Counts a flow of this balancer.
--- a/crates/forward/tests/all/table.rs
+++ b/crates/forward/tests/all/table.rs
@@ -134,6 +134,31 @@
     );
 }
 
+/// Regression (review/10): a new server took over the mark of one that had open flows, which were
+/// reset, because its name came first.
+#[test]
+fn promise_01_a_shared_mark_stays_with_the_older_entry() {
+    let with_uid = |name: &str, uid: u32| {
+        let mut object = server(name, uid.into(), State::In, 7);
+        object.meta.uid = uid;
+        object
+    };
+    let (new, old) = (with_uid("i-1", 9), with_uid("i-2", 5));
+    // The order holds on balancers that start later, too.
+    for is_known in [true, false] {
+        let mut table = Table::default();
+        if is_known {
+            table.apply_servers(NOW, [&old].into_iter());
+        }
+        table.apply_servers(NOW, [&new, &old].into_iter());
+        let key = table.server_by_mark(Mark::new(7)).expect("one owns it");
+        assert_eq!(table.server(key).name, "i-2");
+        let rows = table.servers().filter(|(_, row)| row.is_accepting(NOW));
+        let accepting: Vec<&str> = rows.map(|(_, row)| row.name.as_str()).collect();
+        assert_eq!(accepting, ["i-2"]);
+    }
+}
+
 #[test]
 fn keys_are_reused() {
     let mut table = Table::default();
