forward, wasabictl: the era and revision that each balancer has in force

The page /load lists the kinds of objects with era, revision and age, and wasabictl load shows which balancers have what in force, the latest place first, so that one that missed a restore of the store stands out. Releases that do not send it are left out.

--- a/crates/forward/src/overview.rs
+++ b/crates/forward/src/overview.rs
@@ -1,5 +1,5 @@
-//! The admin page `/load`: the pools that were short of capacity in the last minute, and the flows of
-//! each priority that were admitted and refused meanwhile.
+//! The admin page `/load`: the pools that were short of capacity in the last minute, the flows of each
+//! priority that were admitted and refused meanwhile, and the platform's objects in force.
 //!
 //! Rates are in tenths per second and those of this balancer only, so that a reader can add up the
 //! pages of several balancers. Times are in milliseconds. Unknown fields are ignored, and fields that
@@ -9,12 +9,14 @@
 
 use base::prelude::*;
 use conf::key;
+use conf::place::Place;
 use member::Group;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::admission;
 use crate::demand::Demands;
+use crate::feed::Feeds;
 use crate::host::Usage;
 use crate::load::Loads;
 use crate::running;
@@ -39,6 +41,8 @@
     /// The utilization of its host; absent if the host's limits are not known.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub host: Option<Host>,
+    /// The platform's objects that it has in force, by kind.
+    pub objects: Vec<Objects>,
     /// The pools that were short of capacity or refused flows in the last 60 s.
     pub pools: Vec<Pool>,
     /// The live balancers of all failure domains, this one included.
@@ -66,6 +70,21 @@
     }
 }
 
+/// The objects of one kind that a balancer has in force.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Objects {
+    /// Name of the kind.
+    pub kind: String,
+    /// The era of the platform's store, which rises when it is restored from an older copy.
+    pub era: u16,
+    /// The revision in that era up to which they are complete.
+    pub revision: u64,
+    /// Time since the platform confirmed that; absent before the first time.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub age_ms: Option<u64>,
+}
+
 /// A balancer.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Balancer {
@@ -193,6 +212,8 @@
     pub table: &'a Table,
     /// The members.
     pub group: &'a Group,
+    /// The platform's objects.
+    pub feeds: &'a Feeds,
     /// The requests under way at peers.
     pub loads: &'a Loads,
     /// Service times.
@@ -226,10 +247,20 @@
         })
         .collect();
     balancers.sort();
+    let objects = view.feeds.iter().map(|feed| {
+        let place = Place::from(feed.store().revision());
+        Objects {
+            kind: feed.kind().name().to_owned(),
+            era: place.era(),
+            revision: place.revision(),
+            age_ms: feed.age(view.now).map(Span::as_millis),
+        }
+    });
     Page {
         balancer: view.group.local().name.clone(),
         domain: view.domain.to_owned(),
         host: view.host,
+        objects: objects.collect(),
         pools: pools.collect(),
         balancers,
     }
--- a/crates/forward/src/state.rs
+++ b/crates/forward/src/state.rs
@@ -304,6 +304,7 @@
             domain: &self.setting.domain,
             table: &self.table,
             group: &self.group,
+            feeds: &self.feeds,
             loads: &self.loads,
             speeds: &self.speeds,
             admission: &self.admission,
--- a/crates/forward/tests/all/overview.rs
+++ b/crates/forward/tests/all/overview.rs
@@ -90,6 +90,12 @@
             link_percent: Some(91),
             processor_percent: None,
         }),
+        objects: vec![overview::Objects {
+            kind: "Routing".into(),
+            era: 1,
+            revision: 413,
+            age_ms: Some(350),
+        }],
         pools: vec![overview::Pool {
             name: "rounds".into(),
             service_ms: Some(33),
--- a/crates/wasabictl/src/command/load.rs
+++ b/crates/wasabictl/src/command/load.rs
@@ -1,4 +1,5 @@
-//! `load`: prints which services are short of capacity, and which priorities pay for it.
+//! `load`: prints which services are short of capacity, which priorities pay for it, and up to which
+//! change of the platform each balancer has its objects in force.
 //!
 //! One balancer is asked for the addresses of all live ones, and each of those for its page `/load`.
 
@@ -19,6 +20,7 @@
 mod render;
 mod total;
 
+use total::Report;
 use total::Silent;
 
 /// Bounds the requests in flight. Operators' hosts have few file descriptors to spare, and 450
@@ -58,11 +60,13 @@
     // Answers arrive in any order, and the output should not depend on it.
     pages.sort_by(|one, other| (&one.domain, &one.balancer).cmp(&(&other.domain, &other.balancer)));
     silent.sort_by(|one, other| one.balancer.cmp(&other.balancer));
-    let services = total::services(&pages);
-    Ok(Output::new(
-        render::text(&services, &silent, pages.len()),
-        render::json(&services, &silent, pages.len())?,
-    ))
+    let report = Report {
+        services: total::services(&pages),
+        in_force: total::in_force(&pages),
+        silent,
+        answered: pages.len(),
+    };
+    Ok(Output::new(render::text(&report), render::json(&report)?))
 }
 
 /// Returns the balancers with these names, or all of them without names.
--- a/crates/wasabictl/src/command/load/render.rs
+++ b/crates/wasabictl/src/command/load/render.rs
@@ -1,24 +1,30 @@
 //! The output of `load`, as text and JSON.
 
 use eyre::Result;
-use serde_json::json;
 use serde_json::Value;
 
+use super::total::InForce;
+use super::total::Report;
 use super::total::Service;
 use super::total::Silent;
 use crate::output::render_table;
 
-pub(super) fn json(services: &[Service], silent: &[Silent], answered: usize) -> Result<Value> {
-    Ok(json!({
-        "answered": answered,
-        "silent": serde_json::to_value(silent)?,
-        "services": serde_json::to_value(services)?,
-    }))
+/// The number of balancers up to which a table names them.
+const NAMES_MAX: usize = 3;
+
+pub(super) fn json(report: &Report) -> Result<Value> {
+    Ok(serde_json::to_value(report)?)
 }
 
-pub(super) fn text(services: &[Service], silent: &[Silent], answered: usize) -> String {
+pub(super) fn text(report: &Report) -> String {
+    let Report {
+        answered,
+        silent,
+        services,
+        in_force,
+    } = report;
     let mut text = format!("balancers: {answered} answered, {} silent\n", silent.len());
-    if services.is_empty() && answered > 0 {
+    if services.is_empty() && *answered > 0 {
         text.push_str("no service was short of capacity there in the last 60 s\n");
     }
     let sections = [
@@ -26,6 +32,7 @@
         priorities_table(services),
         spill_table(services),
         servers_table(services),
+        objects_table(in_force),
         silent_table(silent),
     ];
     for section in sections.into_iter().flatten() {
@@ -136,6 +143,23 @@
     section(header, rows)
 }
 
+/// Shows which balancers lack changes, also after the platform was restored from an older copy.
+fn objects_table(in_force: &[InForce]) -> Option<String> {
+    let rows = in_force.iter().map(|objects| {
+        let balancers = match objects.balancers.len() {
+            count @ 0..=NAMES_MAX => format!("{count}: {}", objects.balancers.join(", ")),
+            count => count.to_string(),
+        };
+        [
+            objects.kind.clone(),
+            objects.era.to_string(),
+            objects.revision.to_string(),
+            balancers,
+        ]
+    });
+    section(["OBJECTS", "ERA", "REVISION", "IN FORCE AT"], rows)
+}
+
 fn silent_table(silent: &[Silent]) -> Option<String> {
     let rows = silent.iter().map(|silent| {
         [
--- a/crates/wasabictl/src/command/load/total.rs
+++ b/crates/wasabictl/src/command/load/total.rs
@@ -1,5 +1,6 @@
 //! Sums of the pages of several balancers, by service.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use forward::overview::Balancer;
@@ -12,6 +13,20 @@
 /// Bounds the slow servers that are shown of a service.
 const SLOW_SERVERS_MAX: usize = 5;
 
+/// What the balancers answered.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub(super) struct Report {
+    /// The number of balancers that answered.
+    pub(super) answered: usize,
+    /// The others.
+    pub(super) silent: Vec<Silent>,
+    /// The services that were short of capacity or refused flows.
+    pub(super) services: Vec<Service>,
+    /// The platform's objects in force. Balancers of earlier releases do not send them.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub(super) in_force: Vec<InForce>,
+}
+
 /// A balancer that did not answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub(super) struct Silent {
@@ -22,6 +37,19 @@
     pub(super) why: &'static str,
 }
 
+/// Objects of one kind that some balancers have in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub(super) struct InForce {
+    /// Name of the kind.
+    pub(super) kind: String,
+    /// The era of the platform's store.
+    pub(super) era: u16,
+    /// The revision in that era.
+    pub(super) revision: u64,
+    /// Names of the balancers.
+    pub(super) balancers: Vec<String>,
+}
+
 /// A service that was short of capacity or refused flows. Rates are in tenths per second.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub(super) struct Service {
@@ -170,3 +198,32 @@
 fn sum(rates: impl Iterator<Item = u32>) -> u32 {
     rates.fold(0, u32::saturating_add)
 }
+
+/// Returns which balancers have what in force: each kind, the latest place first.
+pub(super) fn in_force(pages: &[Page]) -> Vec<InForce> {
+    let mut found: Vec<InForce> = Vec::new();
+    for page in pages {
+        for objects in &page.objects {
+            let place = (objects.era, objects.revision);
+            let is_same =
+                |other: &&mut InForce| other.kind == objects.kind && other.place() == place;
+            match found.iter_mut().find(is_same) {
+                Some(other) => other.balancers.push(page.balancer.clone()),
+                None => found.push(InForce {
+                    kind: objects.kind.clone(),
+                    era: objects.era,
+                    revision: objects.revision,
+                    balancers: vec![page.balancer.clone()],
+                }),
+            }
+        }
+    }
+    found.sort_by_key(|objects| (objects.kind.clone(), Reverse(objects.place())));
+    found
+}
+
+impl InForce {
+    fn place(&self) -> (u16, u64) {
+        (self.era, self.revision)
+    }
+}
--- a/crates/wasabictl/tests/all/load.rs
+++ b/crates/wasabictl/tests/all/load.rs
@@ -181,6 +181,26 @@
     insta::assert_snapshot!(fleet.run_session(&admins, &lines).await);
 }
 
+/// Guards against a balancer that missed a restore of the platform going unnoticed: its revision may
+/// be higher than that of the others.
+#[tokio::test]
+async fn balancers_of_an_earlier_era_are_named() {
+    let names = ["a1", "a2", "a3", "a4", "a5"].map(|name| (name, "mazowsze-a"));
+    let mut fleet = Fleet::new(&names).await;
+    let admins = [0, 1, 2, 3, 4].map(|index| fleet.admin(index));
+    let page = |index: usize| {
+        let (era, revision) = if index == 3 { (1, 413) } else { (2, 409) };
+        let mut page: Value = serde_json::from_str(&fleet.page(index, json!([]))).expect("JSON");
+        page["objects"] =
+            json!([{ "kind": "Routing", "era": era, "revision": revision, "age_ms": 7 }]);
+        Some(("200 OK", page.to_string()))
+    };
+    let answers = (0..5).map(page).collect();
+    fleet.serve(answers);
+    let lines = ["load --admin ADMIN", "load --admin ADMIN a4 -o json"];
+    insta::assert_snapshot!(fleet.run_session(&admins, &lines).await);
+}
+
 /// Guards against a balancer that does not answer, answers with nonsense or is of an earlier release
 /// hiding the others, or being left out in silence.
 #[tokio::test]
