--- a/crates/forward/src/feed.rs
+++ b/crates/forward/src/feed.rs
@@ -26,8 +26,11 @@
 use crate::role::WATERMARK_AGE_MAX;
 use crate::startup;
 
+mod restore;
 mod set;
 
+use restore::Restore;
+pub use restore::REPEAT_PERIOD;
 pub use set::Feeds;
 
 /// The kinds that are read, in the order in which they are put in force.
@@ -59,10 +62,6 @@
 /// How long a peer that published changes beyond a gap has to send the missing ones before the feed
 /// reads the platform.
 pub const GAP_FILL_TIMEOUT: Span = Span::millis(150);
-/// How long the objects of a restored store are not put in force after the first sign of the restore.
-/// Operators and backend servers repeat within about 2 s what the store has lost, and a change that
-/// is made meanwhile still is in force within 3 s.
-pub const REPEAT_PERIOD: Span = Span::secs(2);
 /// How long a balancer does not start reads for its role after its first listing. Balancers that
 /// start together find each other in that time, and elect one reader.
 pub const STARTUP_QUIET_PERIOD: Span = Span::millis(1_200);
@@ -112,9 +111,8 @@
     /// The highest revision that the platform's store is known to have reached, and since when this
     /// feed is behind it.
     behind: Option<(u64, Time)>,
-    /// The latest era of the store that is known, and since when, if it follows that of the local
-    /// state.
-    next_era: Option<(u16, Time)>,
+    /// The latest restore of the store that is known, also once its objects are in force.
+    restore: Option<Restore>,
 }
 
 /// An update that a peer published.
@@ -173,7 +171,7 @@
             quiet_until: Time::default(),
             peer_state_at: None,
             behind: None,
-            next_era: None,
+            restore: None,
         }
     }
 
@@ -192,18 +190,16 @@
         Place::from(self.store.revision()).era()
     }
 
-    /// Returns whether objects of an era are not to be put in force yet, since the store was restored
-    /// a moment ago.
-    fn is_held_back(&mut self, now: Time, era: u16) -> bool {
+    /// Records that the store has reached an era. Returns whether the objects of that era have to wait
+    /// until their authors have repeated lost changes.
+    fn observe_era(&mut self, now: Time, era: u16) -> bool {
         if !self.is_synced() || era <= self.era() {
             return false;
         }
-        let since = match self.next_era {
-            Some((known, since)) if known >= era => since,
-            _ => now,
-        };
-        self.next_era = self.next_era.max(Some((era, since)));
-        now.since(since) < REPEAT_PERIOD
+        let known = self.restore.unwrap_or(Restore::new(now, era));
+        let restore = known.with_sign(now, era);
+        self.restore = Some(restore);
+        now < restore.due()
     }
 
     /// Requests a listing even while a watch is in flight or updates of peers arrive.
@@ -305,7 +301,7 @@
         }
         let is_continued = is_listing || era == Place::from(since).era();
         self.failures = 0;
-        if self.is_held_back(now, era) || !is_continued {
+        if self.observe_era(now, era) || !is_continued {
             self.require_listing(now);
             return Answer::Restored;
         }
@@ -349,7 +345,7 @@
     /// Applies an update that a peer published.
     pub fn apply_peer_update(&mut self, now: Time, update: &Update<'_>) -> Change {
         let current = self.store.revision();
-        if self.is_held_back(now, Place::from(update.upto).era()) {
+        if self.observe_era(now, Place::from(update.upto).era()) {
             self.require_listing(now);
             return Change {
                 from: current,
@@ -447,7 +443,7 @@
         if revision <= self.store.revision() {
             return;
         }
-        if self.is_held_back(now, Place::from(revision).era()) {
+        if self.observe_era(now, Place::from(revision).era()) {
             return self.require_listing(now);
         }
         if self.kind == HEARTBEAT_KIND {
@@ -467,8 +463,8 @@
     /// a restored store are not read before they may be put in force.
     pub fn request_read(&mut self, now: Time) {
         self.needs_read = true;
-        let next_era = self.next_era.filter(|&(era, _)| era > self.era());
-        let due = next_era.map_or(now, |(_, since)| since + REPEAT_PERIOD);
+        let restore = self.restore.filter(|restore| restore.era() > self.era());
+        let due = restore.map_or(now, Restore::due);
         self.read_state = ReadState::Idle(due.max(now));
     }
 
