--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -130,13 +130,9 @@
         let Some(entry) = written.get_mut(&(kind, name.to_owned())) else {
             return;
         };
-        let object = entry.object.take();
-        self.remove(
-            entry,
-            kind,
-            object.map_or_else(String::new, |object| object.name),
-        )
-        .await;
+        if entry.object.take().is_some() {
+            self.remove(entry, kind, name).await;
+        }
     }
 
     /// Writes an object as recorded, and retries until the platform acknowledges it.
@@ -157,9 +153,9 @@
     }
 
     /// Deletes an object, and retries until the platform acknowledges it.
-    async fn remove(&self, entry: &mut Written, kind: Kind, name: String) {
+    async fn remove(&self, entry: &mut Written, kind: Kind, name: &str) {
         loop {
-            match self.client.delete(kind, &name, entry.version).await {
+            match self.client.delete(kind, name, entry.version).await {
                 Ok(_) | Err(Error::NotFound) => break entry.version = 0,
                 Err(Error::Conflict(stored)) => entry.version = stored.version,
                 Err(_) => tokio::time::sleep(RETRY_DELAY).await,
@@ -179,18 +175,18 @@
         let start = tokio::time::Instant::now();
         for (wait, (kind, name)) in due {
             tokio::time::sleep_until(start + Duration::from_micros(wait)).await;
-            self.repeat_change(kind, name).await;
+            self.repeat_change(kind, &name).await;
         }
     }
 
     /// Repeats the last change of an object unless the platform has it.
-    async fn repeat_change(&self, kind: Kind, name: String) {
+    async fn repeat_change(&self, kind: Kind, name: &str) {
         let mut written = self.written.lock().await;
-        let Some(entry) = written.get_mut(&(kind, name.clone())) else {
+        let Some(entry) = written.get_mut(&(kind, name.to_owned())) else {
             return;
         };
         let stored = loop {
-            match self.client.get(kind, &name).await {
+            match self.client.get(kind, name).await {
                 Ok(stored) => break Some(stored),
                 Err(Error::NotFound) => break None,
                 Err(_) => tokio::time::sleep(RETRY_DELAY).await,
